--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,272 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"trefoilcourse/control/internal/disk"
+	"trefoilcourse/coord/leader"
+	"trefoilcourse/coord/raft"
+	"trefoilcourse/coord/state"
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+const (
+	tickInterval = 20 * time.Millisecond
+	// ConfirmWithin is how long an entry VM works by a configuration it last confirmed.
+	ConfirmWithin = 6 * time.Second
+	// compactAfter is the number of log entries after which a snapshot replaces them.
+	compactAfter = 1024
+)
+
+// Server is one control VM; set the exported fields before Run.
+type Server struct {
+	// Settings are the VM's own.
+	Settings Settings
+	// Listener accepts the system's processes; nil means Settings.Listen is opened.
+	Listener net.Listener
+	// Dialer reaches control VMs and backend servers; nil means plain TCP.
+	Dialer protorpc.Dialer
+	// Log receives changes of state; nil means the standard logger.
+	Log logrus.FieldLogger
+
+	once    sync.Once
+	calls   chan func(now time.Time)
+	ended   chan struct{}
+	traffic protorpc.Traffic
+	metrics *metrics
+
+	store       *disk.Store
+	node        *raft.Node
+	machine     *state.Machine
+	leader      *leader.Leader
+	snapshot    *wire.LogSnapshot
+	peers       map[string]*peer
+	waiting     map[string]chan *wire.PublishResult
+	commanded   map[string]uint64
+	querying    map[string]bool
+	leadingTerm uint64
+	formed      bool
+}
+
+func (s *Server) prepare() {
+	s.once.Do(func() {
+		s.calls = make(chan func(now time.Time), 256)
+		s.ended = make(chan struct{})
+		s.metrics = newMetrics(s.Settings.VM)
+		if s.Log == nil {
+			s.Log = logrus.StandardLogger()
+		}
+		s.Log = s.Log.WithField("vm", s.Settings.VM)
+		if s.Dialer == nil {
+			s.Dialer = &net.Dialer{}
+		}
+	})
+}
+
+// Run serves until ctx ends or the data folder fails; the latter is returned as an error.
+func (s *Server) Run(ctx context.Context) error {
+	s.prepare()
+	defer close(s.ended)
+	if err := s.Settings.Check(); err != nil {
+		return trace.Wrap(err)
+	}
+	store, err := disk.Open(s.Settings.DataFolder)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = store.Close() }()
+	s.store = store
+	if err := s.restart(time.Now()); err != nil {
+		return trace.Wrap(err)
+	}
+	return s.serve(ctx)
+}
+
+func (s *Server) restart(now time.Time) error {
+	stored, empty, err := s.store.Load()
+	if err != nil {
+		return err
+	}
+	s.formed = !empty
+	s.machine = state.New()
+	s.leader = &leader.Leader{State: s.machine}
+	s.peers = map[string]*peer{}
+	s.waiting = map[string]chan *wire.PublishResult{}
+	s.commanded = map[string]uint64{}
+	s.querying = map[string]bool{}
+	s.node = &raft.Node{Self: s.key(), Seed: uint64(now.UnixNano())}
+	s.snapshot = stored.Snapshot
+	s.node.Restart(now, stored)
+	return nil
+}
+
+func (s *Server) key() string { return raft.Key(s.Settings.VM, s.store.Incarnation()) }
+
+func (s *Server) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listener := s.Listener
+	if listener == nil {
+		opened, err := net.Listen("tcp", s.Settings.Listen)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		listener = opened
+	}
+	accepting := make(chan error, 1)
+	go func() { accepting <- s.accept(ctx, listener) }()
+	joining := make(chan error, 1)
+	go func() { joining <- s.join(ctx) }()
+	err := s.loop(ctx)
+	cancel()
+	_ = listener.Close()
+	<-accepting
+	<-joining
+	for _, p := range s.peers {
+		<-p.ended
+	}
+	return err
+}
+
+// loop owns all state of the server; everything else sends it functions.
+func (s *Server) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		if err := s.carryOut(ctx); err != nil {
+			s.Log.WithError(err).Error("data folder failed; this control VM stops")
+			return trace.Wrap(err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case call := <-s.calls:
+			call(time.Now())
+		case <-ticker.C:
+			s.tick(ctx, time.Now())
+		}
+	}
+}
+
+// do runs f in the loop and waits for it; false means that the server has ended or ctx has.
+func (s *Server) do(ctx context.Context, f func(now time.Time)) bool {
+	done := make(chan struct{})
+	call := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case s.calls <- call:
+	case <-s.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-s.ended:
+		return false
+	}
+}
+
+func (s *Server) tick(ctx context.Context, now time.Time) {
+	s.node.Tick(now)
+	if !s.leading(now) {
+		return
+	}
+	for _, action := range s.leader.Tick(now) {
+		s.act(ctx, now, action)
+	}
+	s.tendMembership(now)
+}
+
+// leading reports whether this VM may answer as the leader, and starts its leadership.
+func (s *Server) leading(now time.Time) bool {
+	if !s.node.Leading(now) || !s.node.Settled() {
+		return false
+	}
+	if s.leadingTerm != s.node.Term() {
+		s.leadingTerm = s.node.Term()
+		s.leader.Lead(now, s.leadingTerm)
+		s.commanded = map[string]uint64{}
+		s.metrics.leaderships.Add(1)
+		s.Log.WithField("term", s.leadingTerm).Info("leads the control VMs")
+	}
+	return true
+}
+
+// carryOut persists, sends and applies what the node asks for.
+func (s *Server) carryOut(ctx context.Context) error {
+	for {
+		effects := s.node.Take()
+		if effects.Empty() {
+			return nil
+		}
+		if effects.MustSync() {
+			if err := s.store.Save(&effects); err != nil {
+				return err
+			}
+			s.metrics.syncs.Add(1)
+		}
+		s.node.Synced(time.Now(), &effects)
+		if effects.Snapshot != nil {
+			s.snapshot = effects.Snapshot
+			s.formed = true
+		}
+		for _, m := range effects.Messages {
+			s.send(ctx, m)
+		}
+		if err := s.apply(&effects); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Server) apply(e *raft.Effects) error {
+	if e.Install != nil && len(e.Install.GetState()) > 0 {
+		if err := s.machine.Restore(e.Install.GetState()); err != nil {
+			return err
+		}
+	}
+	for _, entry := range e.Committed {
+		if entry.GetKind() != wire.EntryKind_ENTRY_KIND_COMMAND {
+			continue
+		}
+		result, err := s.machine.Apply(entry.GetData())
+		if err != nil {
+			return err
+		}
+		s.answerPublish(result)
+	}
+	if len(e.Committed) > 0 && s.node.LogLength() > compactAfter {
+		s.node.Compact(s.machine.Snapshot())
+	}
+	return nil
+}
+
+func (s *Server) answerPublish(result *wire.PublishResult) {
+	waiter := s.waiting[result.GetId()]
+	if result == nil || waiter == nil {
+		return
+	}
+	delete(s.waiting, result.GetId())
+	waiter <- result
+}
+
+// leaderAddress returns where the leader listens as far as this VM knows, or "".
+func (s *Server) leaderAddress() string {
+	for _, m := range s.node.Membership().GetMembers() {
+		if raft.MemberKey(m) == s.node.LeaderKey() {
+			return m.GetAddress()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/control/service.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoilcourse/coord/config"
+	"trefoilcourse/coord/raft"
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+const publishTimeout = 3 * time.Second
+
+var errEnded = errors.New("this control VM is stopping")
+
+// accept serves the system's processes until the listener is closed.
+func (s *Server) accept(ctx context.Context, listener net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Agreement", &agreementService{s}); err != nil {
+		return err
+	}
+	if err := server.RegisterName("Control", &controlService{s}); err != nil {
+		return err
+	}
+	var open sync.WaitGroup
+	defer open.Wait()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		open.Go(func() {
+			defer stop()
+			server.ServeCodec(protorpc.NewServerCodec(conn, &s.traffic))
+		})
+	}
+}
+
+// agreementService answers other control VMs.
+type agreementService struct{ s *Server }
+
+// Step hands a message of the agreement protocol to the node.
+func (a *agreementService) Step(m *wire.AgreementMessage, _ *wire.Empty) error {
+	if !a.s.do(context.Background(), func(now time.Time) { a.s.node.Step(now, m) }) {
+		return errEnded
+	}
+	return nil
+}
+
+// Join answers a control VM that is not a voting member.
+func (a *agreementService) Join(newcomer *wire.ControlMember, answer *wire.JoinResponse) error {
+	s := a.s
+	ok := s.do(context.Background(), func(now time.Time) {
+		answer.Self = &wire.ControlMember{
+			Vm: s.Settings.VM, Incarnation: s.store.Incarnation(), Address: s.Settings.Peers[s.Settings.VM],
+		}
+		if !s.formed {
+			return
+		}
+		answer.Membership = proto.CloneOf(s.node.Membership())
+		if s.node.Role() == raft.Leader {
+			s.welcome(now, newcomer)
+		}
+	})
+	if !ok {
+		return errEnded
+	}
+	return nil
+}
+
+// controlService answers entry VMs and operators.
+type controlService struct{ s *Server }
+
+// Renew answers an entry VM's periodic message.
+func (c *controlService) Renew(r *wire.RenewRequest, answer *wire.RenewResponse) error {
+	s := c.s
+	ok := s.do(context.Background(), func(now time.Time) {
+		s.metrics.renewals.Add(1)
+		if !s.leading(now) {
+			answer.LeaderAddress = s.leaderAddress()
+			return
+		}
+		proto.Merge(answer, s.leader.Renew(now, r))
+	})
+	if !ok {
+		return errEnded
+	}
+	return nil
+}
+
+// Publish checks a whole set of objects, proposes it and waits for the recorded outcome.
+func (c *controlService) Publish(r *wire.PublishRequest, answer *wire.PublishResponse) error {
+	s := c.s
+	if reason := faultsOf(r); reason != "" {
+		answer.Leading = true
+		answer.Result = &wire.PublishResult{Id: r.GetId(), Reason: reason}
+		return nil
+	}
+	waiter := make(chan *wire.PublishResult, 1)
+	ok := s.do(context.Background(), func(now time.Time) { s.propose(now, r, answer, waiter) })
+	if !ok {
+		return errEnded
+	}
+	if !answer.GetLeading() || answer.GetResult() != nil {
+		return nil
+	}
+	select {
+	case answer.Result = <-waiter:
+		return nil
+	case <-s.ended:
+		return errEnded
+	case <-time.After(publishTimeout):
+		return errors.New("the outcome is not known yet; send the same publish id again")
+	}
+}
+
+func faultsOf(r *wire.PublishRequest) string {
+	if r.GetId() == "" {
+		return "the publish has no id; give it one, so that it can be sent again"
+	}
+	var objects []config.Parsed
+	for _, o := range r.GetObjects() {
+		p, faults := config.FromWire(o.GetKind(), o.GetName(), o.GetBody())
+		if len(faults) > 0 {
+			return faults[0].String()
+		}
+		objects = append(objects, p)
+	}
+	if _, faults := config.Check(objects); len(faults) > 0 {
+		return faults[0].String()
+	}
+	return ""
+}
+
+func (s *Server) propose(now time.Time, r *wire.PublishRequest, answer *wire.PublishResponse, waiter chan *wire.PublishResult) {
+	if !s.leading(now) {
+		answer.LeaderAddress = s.leaderAddress()
+		return
+	}
+	answer.Leading = true
+	if earlier := s.machine.Result(r.GetId()); earlier != nil {
+		answer.Result = earlier
+		return
+	}
+	data, err := proto.Marshal(&wire.Command{Publish: r})
+	if err != nil {
+		answer.Result = &wire.PublishResult{Id: r.GetId(), Reason: err.Error()}
+		return
+	}
+	s.waiting[r.GetId()] = waiter
+	s.node.Propose(now, data)
+}
+
+// Configuration returns the objects in force and the history.
+func (c *controlService) Configuration(_ *wire.ConfigurationRequest, answer *wire.ConfigurationResponse) error {
+	s := c.s
+	ok := s.do(context.Background(), func(now time.Time) {
+		if !s.leading(now) {
+			answer.LeaderAddress = s.leaderAddress()
+			return
+		}
+		answer.Leading = true
+		answer.Version = s.machine.Version()
+		answer.Objects = s.machine.Objects()
+		answer.History = s.machine.History()
+	})
+	if !ok {
+		return errEnded
+	}
+	return nil
+}
+
+// Status returns the leader's view of the system.
+func (c *controlService) Status(r *wire.StatusRequest, answer *wire.StatusResponse) error {
+	s := c.s
+	ok := s.do(context.Background(), func(now time.Time) {
+		if !s.leading(now) {
+			answer.LeaderAddress = s.leaderAddress()
+			return
+		}
+		proto.Merge(answer, s.leader.Status(now))
+		answer.Control = s.node.Membership()
+		answer.Commit = s.node.Commit()
+		answer.InForce = s.leader.InForce(now, r.GetVersion(), ConfirmWithin)
+	})
+	if !ok {
+		return errEnded
+	}
+	return nil
+}
+
+// Operate carries out an operator's order.
+func (c *controlService) Operate(r *wire.OperatorRequest, answer *wire.OperatorResponse) error {
+	s := c.s
+	ok := s.do(context.Background(), func(now time.Time) {
+		if !s.leading(now) {
+			answer.LeaderAddress = s.leaderAddress()
+			return
+		}
+		proto.Merge(answer, s.operator(now, r))
+	})
+	if !ok {
+		return errEnded
+	}
+	return nil
+}
--- /dev/null
+++ b/coord/config/object.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// The kinds of objects.
+const (
+	KindDatabaseGroup      = "database-group"
+	KindService            = "service"
+	KindReadPolicy         = "read-policy"
+	KindStalenessAllowance = "staleness-allowance"
+	KindObjective          = "objective"
+)
+
+// The values of a database group's acknowledge field.
+const (
+	AcknowledgeMajority    = "majority"
+	AcknowledgePrimaryOnly = "primary-only"
+)
+
+// Key names an object.
+type Key struct {
+	Kind string
+	Name string
+}
+
+// String returns the key as kind/name.
+func (k Key) String() string { return k.Kind + "/" + k.Name }
+
+// DatabaseGroup is one database kept by several backend servers, each in a slot.
+type DatabaseGroup struct {
+	Slots       []string `json:"slots"`
+	Connections int      `json:"connections"`
+	Acknowledge string   `json:"acknowledge,omitempty"`
+}
+
+// NeedsMajority reports whether a write is acknowledged only once a majority of slots has it.
+func (g DatabaseGroup) NeedsMajority() bool { return g.Acknowledge != AcknowledgePrimaryOnly }
+
+// Service is a set of groups with common policies.
+type Service struct {
+	Groups     []string `json:"groups"`
+	ReadPolicy string   `json:"read-policy"`
+	Objective  string   `json:"objective,omitempty"`
+}
+
+// ReadPolicy says whether and when reads go to replicas.
+type ReadPolicy struct {
+	Replicas           bool   `json:"replicas"`
+	StalenessAllowance string `json:"staleness-allowance,omitempty"`
+	WaitMilliseconds   int    `json:"wait-milliseconds,omitempty"`
+}
+
+// StalenessAllowance bounds the age of what a read may see.
+type StalenessAllowance struct {
+	Milliseconds int `json:"milliseconds"`
+}
+
+// Objective is a service level that the burn report measures against.
+type Objective struct {
+	AvailabilityPercent float64 `json:"availability-percent"`
+	LatencyMilliseconds int     `json:"latency-milliseconds"`
+	WindowDays          int     `json:"window-days"`
+}
+
+// Set is a whole configuration, decoded.
+type Set struct {
+	Groups     map[string]DatabaseGroup
+	Services   map[string]Service
+	Policies   map[string]ReadPolicy
+	Allowances map[string]StalenessAllowance
+	Objectives map[string]Objective
+}
+
+// Empty returns a set without objects.
+func Empty() *Set {
+	return &Set{
+		Groups: map[string]DatabaseGroup{}, Services: map[string]Service{},
+		Policies: map[string]ReadPolicy{}, Allowances: map[string]StalenessAllowance{},
+		Objectives: map[string]Objective{},
+	}
+}
+
+// Put decodes one object into the set.
+func (s *Set) Put(key Key, body []byte) error {
+	switch key.Kind {
+	case KindDatabaseGroup:
+		return put(s.Groups, key, body)
+	case KindService:
+		return put(s.Services, key, body)
+	case KindReadPolicy:
+		return put(s.Policies, key, body)
+	case KindStalenessAllowance:
+		return put(s.Allowances, key, body)
+	case KindObjective:
+		return put(s.Objectives, key, body)
+	}
+	return fmt.Errorf("kind %q does not exist", key.Kind)
+}
+
+// Delete removes one object from the set.
+func (s *Set) Delete(key Key) {
+	switch key.Kind {
+	case KindDatabaseGroup:
+		delete(s.Groups, key.Name)
+	case KindService:
+		delete(s.Services, key.Name)
+	case KindReadPolicy:
+		delete(s.Policies, key.Name)
+	case KindStalenessAllowance:
+		delete(s.Allowances, key.Name)
+	case KindObjective:
+		delete(s.Objectives, key.Name)
+	}
+}
+
+func put[T any](objects map[string]T, key Key, body []byte) error {
+	var object T
+	if err := json.Unmarshal(body, &object); err != nil {
+		return fmt.Errorf("object %s: %w", key, err)
+	}
+	objects[key.Name] = object
+	return nil
+}
+
+// ServiceOf returns the name of the service that contains a group, or "".
+func (s *Set) ServiceOf(group string) string {
+	for name, service := range s.Services {
+		for _, g := range service.Groups {
+			if g == group {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// Reading is the resolved read policy of a group.
+type Reading struct {
+	Replicas  bool
+	Staleness time.Duration
+	Wait      time.Duration
+}
+
+// ReadingOf resolves the read policy of a group; a group without a service reads at its primary.
+func (s *Set) ReadingOf(group string) Reading {
+	service, ok := s.Services[s.ServiceOf(group)]
+	if !ok {
+		return Reading{}
+	}
+	policy := s.Policies[service.ReadPolicy]
+	allowance := s.Allowances[policy.StalenessAllowance]
+	return Reading{
+		Replicas:  policy.Replicas,
+		Staleness: time.Duration(allowance.Milliseconds) * time.Millisecond,
+		Wait:      time.Duration(policy.WaitMilliseconds) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/coord/config/parse.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Fault is one reason why a set of objects is refused.
+type Fault struct {
+	File   string
+	Line   int
+	Column int
+	Object string
+	Text   string
+	Mend   string
+}
+
+// String returns the fault on one line, as compilers print theirs.
+func (f Fault) String() string {
+	where := fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column)
+	if f.Object != "" {
+		where += ": " + f.Object
+	}
+	return fmt.Sprintf("%s: %s; %s", where, f.Text, f.Mend)
+}
+
+// Parsed is one object with its place in a file.
+type Parsed struct {
+	key    Key
+	body   []byte
+	file   *source
+	offset int
+}
+
+// Key returns the object's kind and name.
+func (p Parsed) Key() Key { return p.key }
+
+// Body returns the object's fields as standard JSON without white space.
+func (p Parsed) Body() []byte { return p.body }
+
+type source struct {
+	name string
+	text []byte
+}
+
+func (s *source) place(offset int) (line, column int) {
+	before := s.text[:min(offset, len(s.text))]
+	line = bytes.Count(before, []byte("\n")) + 1
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
+
+func (s *source) fault(offset int, object, text, mend string) Fault {
+	line, column := s.place(offset)
+	return Fault{File: s.name, Line: line, Column: column, Object: object, Text: text, Mend: mend}
+}
+
+// Parse reads the objects of one file; faults that concern several objects are found by Check.
+func Parse(file string, text []byte) ([]Parsed, []Fault) {
+	s := &source{name: file, text: text}
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return nil, []Fault{s.syntaxFault(err)}
+	}
+	kinds, ok := root.Value.(*hujson.Object)
+	if !ok {
+		return nil, []Fault{s.fault(root.StartOffset, "", "the file is not an object", "write { \"kind\": { \"name\": { ... } } }")}
+	}
+	var parsed []Parsed
+	var faults []Fault
+	for _, k := range kinds.Members {
+		kind := memberName(k)
+		names, ok := k.Value.Value.(*hujson.Object)
+		if !slices.Contains(Kinds(), kind) {
+			faults = append(faults, s.fault(k.Name.StartOffset, "", fmt.Sprintf("kind %q does not exist", kind), "use one of "+strings.Join(Kinds(), ", ")))
+			continue
+		}
+		if !ok {
+			faults = append(faults, s.fault(k.Value.StartOffset, kind, "the value is not an object", "write { \"name\": { ... } }"))
+			continue
+		}
+		for _, m := range names.Members {
+			p, f := s.parseObject(Key{kind, memberName(m)}, m)
+			faults = append(faults, f...)
+			if len(f) == 0 {
+				parsed = append(parsed, p)
+			}
+		}
+	}
+	return parsed, faults
+}
+
+func (s *source) syntaxFault(err error) Fault {
+	f := Fault{File: s.name, Line: 1, Column: 1, Text: err.Error(), Mend: "mend the JSON there"}
+	text := err.Error()
+	if i := strings.Index(text, "line "); i >= 0 {
+		_, _ = fmt.Sscanf(text[i:], "line %d, column %d", &f.Line, &f.Column)
+	}
+	return f
+}
+
+func memberName(m hujson.ObjectMember) string {
+	literal, ok := m.Name.Value.(hujson.Literal)
+	if !ok {
+		return ""
+	}
+	return literal.String()
+}
+
+func (s *source) parseObject(key Key, m hujson.ObjectMember) (Parsed, []Fault) {
+	var faults []Fault
+	value := m.Value.Clone()
+	value.Standardize()
+	value.Minimize()
+	body := value.Pack()
+	if !validName(key.Name) {
+		faults = append(faults, s.fault(m.Name.StartOffset, key.String(), "the name is not in kebab case", "use lower-case letters, digits and hyphens, at most 63"))
+	}
+	if fields, ok := m.Value.Value.(*hujson.Object); ok {
+		faults = append(faults, s.unknownFields(key, fields)...)
+	}
+	if len(faults) > 0 {
+		return Parsed{}, faults
+	}
+	if err := Empty().Put(key, body); err != nil {
+		return Parsed{}, []Fault{s.fault(m.Value.StartOffset, key.String(), typeError(err), "give the field a value of that type")}
+	}
+	return Parsed{key: key, body: body, file: s, offset: m.Name.StartOffset}, nil
+}
+
+func typeError(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Sprintf("field %q is a %s where a %s is expected", wrong.Field, wrong.Value, wrong.Type)
+	}
+	return err.Error()
+}
+
+func (s *source) unknownFields(key Key, fields *hujson.Object) []Fault {
+	var faults []Fault
+	seen := map[string]bool{}
+	for _, f := range fields.Members {
+		name := memberName(f)
+		switch {
+		case !slices.Contains(fieldsOf(key.Kind), name):
+			faults = append(faults, s.fault(f.Name.StartOffset, key.String(), fmt.Sprintf("field %q does not exist", name), "use "+strings.Join(fieldsOf(key.Kind), ", ")))
+		case seen[name]:
+			faults = append(faults, s.fault(f.Name.StartOffset, key.String(), fmt.Sprintf("field %q is given twice", name), "keep one"))
+		}
+		seen[name] = true
+	}
+	return faults
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	for i, r := range name {
+		inner := i > 0 && i < len(name)-1
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && (r != '-' || !inner) {
+			return false
+		}
+	}
+	return true
+}
+
+// FromWire makes an object from a published one; faults are placed in a file named after it.
+func FromWire(kind, name string, body []byte) (Parsed, []Fault) {
+	text, err := json.Marshal(map[string]map[string]json.RawMessage{kind: {name: body}})
+	if err != nil {
+		return Parsed{}, []Fault{{File: kind + "/" + name, Line: 1, Column: 1, Text: err.Error(), Mend: "publish valid JSON"}}
+	}
+	parsed, faults := Parse(kind+"/"+name, text)
+	if len(faults) > 0 {
+		return Parsed{}, faults
+	}
+	return parsed[0], nil
+}
--- /dev/null
+++ b/coord/leader/status.go
@@ -0,0 +1,30 @@
+package leader
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"trefoilcourse/wire"
+)
+
+// Status describes the system as the leader sees it.
+func (l *Leader) Status(now time.Time) *wire.StatusResponse {
+	s := &wire.StatusResponse{Leading: true, ControlTerm: l.term, ConfigurationVersion: l.version}
+	for _, vm := range slices.Sorted(maps.Keys(l.members)) {
+		m := l.members[vm]
+		s.Members = append(s.Members, &wire.MemberStatus{
+			Member: m.wire, ConfigurationVersion: m.version,
+			AgeMilliseconds: uint32(now.Sub(m.renewed).Milliseconds()),
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.groups)) {
+		g := l.groups[name]
+		status := &wire.GroupStatus{Phase: g.machine.State(), Note: g.machine.Note()}
+		if entry := l.directory.groups[name]; entry != nil {
+			status.State = entry.value
+		}
+		s.Groups = append(s.Groups, status)
+	}
+	return s
+}
--- /dev/null
+++ b/coord/promote/group.go
@@ -0,0 +1,376 @@
+package promote
+
+import (
+	_ "embed" // reads the state chart
+	"fmt"
+	"time"
+
+	"trefoilcourse/coord/chart"
+	"trefoilcourse/coord/session"
+)
+
+//go:embed chart.json
+var chartFile []byte
+
+var phases = chart.MustParse(chartFile)
+
+// The states of a group, as in chart.json.
+const (
+	Steady   = "steady"
+	Checking = "checking"
+	Fencing  = "fencing"
+	Choosing = "choosing"
+	Ordering = "ordering"
+)
+
+const (
+	observationLife = 1500 * time.Millisecond
+	checkTimeout    = 500 * time.Millisecond
+	chooseGrace     = 100 * time.Millisecond
+	queryInterval   = 250 * time.Millisecond
+	orderTimeout    = 1500 * time.Millisecond
+	vetoLife        = 2 * time.Second
+	vetoLimit       = 3
+)
+
+// Health is an owner's finding about a primary.
+type Health int
+
+// The findings of an owner.
+const (
+	Good Health = iota
+	Unreachable
+	Stalled
+)
+
+// Observation is what one owner found about the primary of a term.
+type Observation struct {
+	VM            string
+	FailureDomain string
+	Term          uint64
+	Health        Health
+}
+
+// Status is a server's own answer to a question asked at Asked; without an incarnation it says
+// that the server did not answer.
+type Status struct {
+	Slot        string
+	Incarnation string
+	Primary     bool
+	// Term is the term that the server leads or follows.
+	Term uint64
+	// Position is that of its last record, with the term in which the record was written.
+	Position session.Position
+	// Followed reports that a majority of slots receives what the server writes, as primary.
+	Followed bool
+	Asked    time.Time
+}
+
+// Primary is the recorded primary of a term and the incarnations that count in its group.
+type Primary struct {
+	Term         uint64
+	Slot         string
+	Incarnations map[string]string
+}
+
+// Action is one thing for the leader to do; exactly one kind is set.
+type Action struct {
+	// Query asks these slots for their status.
+	Query []string
+	// Record proposes a primary to the control VMs.
+	Record *Primary
+	// Promote orders the recorded primary to lead its term.
+	Promote *Primary
+	// Follow orders a slot to follow the recorded primary.
+	Follow string
+}
+
+type observed struct {
+	Observation
+	at time.Time
+}
+
+// Group decides about one group; set the exported fields before the first call.
+type Group struct {
+	// Name is the group's name.
+	Name string
+	// Slots are the configured slots.
+	Slots []string
+
+	state        string
+	since        time.Time
+	primary      Primary
+	observations map[string]observed
+	owners       map[string]string
+	statuses     map[string]Status
+	announced    map[string]Status
+	nextQuery    time.Time
+	vetoUntil    time.Time
+	vetoes       int
+	note         string
+	acceptLoss   bool
+	forced       string
+	marks        map[string]mark
+}
+
+// State returns the name of the state in chart.json.
+func (g *Group) State() string {
+	if g.state == "" {
+		return phases.Initial()
+	}
+	return g.state
+}
+
+// Note says in words what the group waits for; it is empty when all is well.
+func (g *Group) Note() string { return g.note }
+
+// Primary returns the recorded primary; its term is 0 when there is none yet.
+func (g *Group) Primary() Primary { return g.primary }
+
+// AckTerm returns the term in which owners may acknowledge writes, or 0 while that may change.
+func (g *Group) AckTerm() uint64 {
+	switch g.State() {
+	case Steady, Checking, Ordering:
+		return g.primary.Term
+	}
+	return 0
+}
+
+// SetOwners says which VMs own the group and in which failure domains they are.
+func (g *Group) SetOwners(domains map[string]string) { g.owners = domains }
+
+// Observe takes note of an owner's finding.
+func (g *Group) Observe(now time.Time, o Observation) {
+	if g.observations == nil {
+		g.observations = map[string]observed{}
+	}
+	if o.Term == g.primary.Term {
+		g.observations[o.VM] = observed{o, now}
+	}
+}
+
+// Announce takes note of what a server said of itself, possibly some time ago; it is a hint
+// that something is to be repaired and decides nothing.
+func (g *Group) Announce(s Status) {
+	if g.announced == nil {
+		g.announced = map[string]Status{}
+	}
+	g.announced[s.Slot] = s
+}
+
+// Answer takes note of a server's status.
+func (g *Group) Answer(s Status) {
+	if g.statuses == nil {
+		g.statuses = map[string]Status{}
+	}
+	if old, ok := g.statuses[s.Slot]; !ok || old.Asked.Before(s.Asked) {
+		g.statuses[s.Slot] = s
+	}
+}
+
+// Recorded takes note of a primary that the control VMs have recorded.
+func (g *Group) Recorded(now time.Time, p Primary) {
+	if p.Term < g.primary.Term {
+		return
+	}
+	newTerm := p.Term > g.primary.Term
+	g.primary = p
+	if newTerm {
+		g.observations = nil
+		g.vetoes = 0
+		g.step(now, "chosen")
+	}
+}
+
+// Lead starts over under a new leader from what is recorded; an order that an earlier leader
+// recorded and did not carry out is given again as soon as a server's answer shows it.
+func (g *Group) Lead(now time.Time, p Primary) {
+	g.primary = p
+	g.state = phases.Initial()
+	g.since = now
+}
+
+// Force starts a change of primary on an operator's word; with acceptLoss a majority is not
+// waited for, and slot, if not empty, is taken.
+func (g *Group) Force(now time.Time, slot string, acceptLoss bool) error {
+	if slot != "" && !g.hasSlot(slot) {
+		return fmt.Errorf("slot %q does not exist in database-group %q", slot, g.Name)
+	}
+	if g.primary.Term == 0 {
+		return fmt.Errorf("database-group %q has no recorded primary yet", g.Name)
+	}
+	g.forced = slot
+	g.acceptLoss = acceptLoss
+	if g.State() == Steady {
+		g.step(now, "suspected")
+	}
+	if g.State() == Checking {
+		g.step(now, "confirmed")
+	}
+	return nil
+}
+
+// Tick lets time pass and returns what to do; fenced says whether no owner can acknowledge
+// writes of the recorded term any more.
+func (g *Group) Tick(now time.Time, fenced bool) []Action {
+	if g.state == "" {
+		g.state = phases.Initial()
+		g.since = now
+	}
+	switch g.state {
+	case Steady:
+		return g.tickSteady(now)
+	case Checking:
+		return g.tickChecking(now)
+	case Fencing:
+		g.note = "waiting until no owner can acknowledge writes of the old term"
+		if fenced {
+			g.step(now, "fenced")
+			return g.query(now)
+		}
+	case Choosing:
+		return g.tickChoosing(now)
+	case Ordering:
+		return g.tickOrdering(now)
+	}
+	return nil
+}
+
+func (g *Group) step(now time.Time, event string) {
+	next := phases.Next(g.State(), event)
+	if next != g.state {
+		g.since = now
+		g.nextQuery = time.Time{}
+	}
+	g.state = next
+}
+
+func (g *Group) tickSteady(now time.Time) []Action {
+	g.note = ""
+	if g.primary.Term == 0 {
+		return g.tickFirst(now)
+	}
+	if !g.suspected(now) || now.Before(g.vetoUntil) {
+		return g.repair(now)
+	}
+	g.step(now, "suspected")
+	return g.query(now)
+}
+
+// suspected reports whether a majority of the owners, from two failure domains if they span
+// as many, lately found the primary unusable.
+func (g *Group) suspected(now time.Time) bool {
+	against := 0
+	domains := map[string]bool{}
+	span := map[string]bool{}
+	for vm, domain := range g.owners {
+		span[domain] = true
+		o, ok := g.observations[vm]
+		if ok && now.Sub(o.at) <= observationLife && o.Health != Good {
+			against++
+			domains[domain] = true
+		}
+	}
+	return against > len(g.owners)/2 && len(domains) >= min(2, len(span))
+}
+
+func (g *Group) tickChecking(now time.Time) []Action {
+	g.note = "owners cannot use the primary; asking it"
+	s, ok := g.statuses[g.primary.Slot]
+	fresh := ok && !s.Asked.Before(g.since)
+	if fresh && g.healthy(s) && g.vetoes < vetoLimit {
+		g.vetoes++
+		g.vetoUntil = now.Add(vetoLife)
+		g.step(now, "cleared")
+		return nil
+	}
+	if fresh || now.Sub(g.since) >= checkTimeout {
+		g.step(now, "confirmed")
+	}
+	return nil
+}
+
+func (g *Group) healthy(s Status) bool {
+	return s.Primary && s.Followed && s.Term == g.primary.Term && g.counts(s)
+}
+
+// counts reports whether a server still has the data that its slot promised to keep.
+func (g *Group) counts(s Status) bool {
+	return s.Incarnation != "" && g.primary.Incarnations[s.Slot] == s.Incarnation
+}
+
+func (g *Group) tickOrdering(now time.Time) []Action {
+	g.note = fmt.Sprintf("ordering slot %q to lead term %d", g.primary.Slot, g.primary.Term)
+	s, ok := g.statuses[g.primary.Slot]
+	if ok && !s.Asked.Before(g.since) && s.Primary && s.Term == g.primary.Term {
+		g.step(now, "promoted")
+		g.note = ""
+		return g.repair(now)
+	}
+	if now.Sub(g.since) >= orderTimeout {
+		g.step(now, "failed")
+		return nil
+	}
+	if now.Before(g.nextQuery) {
+		return nil
+	}
+	p := g.primary
+	return append([]Action{{Promote: &p}}, g.query(now)...)
+}
+
+// repair gives orders again that a server has not carried out, admits servers that caught up,
+// and keeps statuses fresh.
+func (g *Group) repair(now time.Time) []Action {
+	var actions []Action
+	for _, slot := range g.Slots {
+		s, ok := g.statuses[slot]
+		late := ok && s.Term < g.primary.Term && now.Sub(s.Asked) < 2*repairInterval
+		switch {
+		case now.Before(g.nextQuery) || !ok || s.Incarnation == "":
+		case slot == g.primary.Slot && (late || !s.Primary) && g.counts(s):
+			p := g.primary
+			actions = append(actions, Action{Promote: &p})
+		case slot != g.primary.Slot && (late || s.Primary):
+			actions = append(actions, Action{Follow: slot})
+		}
+	}
+	if now.Before(g.nextQuery) {
+		return nil
+	}
+	if p, ok := g.admission(now); ok {
+		actions = append(actions, Action{Record: &p})
+	}
+	g.nextQuery = now.Add(repairInterval)
+	if g.needsRepair() {
+		actions = append(actions, Action{Query: g.Slots})
+	}
+	return actions
+}
+
+// needsRepair reports whether a server's announcement is not as it should be.
+func (g *Group) needsRepair() bool {
+	for _, a := range g.announced {
+		isPrimary := a.Slot == g.primary.Slot
+		if !g.counts(a) || a.Term != g.primary.Term || a.Primary != isPrimary {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Group) query(now time.Time) []Action {
+	if now.Before(g.nextQuery) {
+		return nil
+	}
+	g.nextQuery = now.Add(queryInterval)
+	return []Action{{Query: g.Slots}}
+}
+
+func (g *Group) hasSlot(slot string) bool {
+	for _, s := range g.Slots {
+		if s == slot {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coord/raft/log.go
@@ -0,0 +1,65 @@
+package raft
+
+import "trefoilcourse/wire"
+
+// entryLog is the log after its snapshot; its invariant is that indexes follow without a gap.
+type entryLog struct {
+	snapshotIndex uint64
+	snapshotTerm  uint64
+	entries       []*wire.LogEntry
+}
+
+func (l *entryLog) last() uint64 { return l.snapshotIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of the entry at index, and false when it is compacted or absent.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.snapshotIndex {
+		return l.snapshotTerm, true
+	}
+	if index < l.snapshotIndex || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.snapshotIndex-1].GetTerm(), true
+}
+
+// slice returns up to limit entries with indexes in [from, to].
+func (l *entryLog) slice(from, to uint64, limit int) []*wire.LogEntry {
+	to = min(to, l.last())
+	if from <= l.snapshotIndex || from > to {
+		return nil
+	}
+	part := l.entries[from-l.snapshotIndex-1 : to-l.snapshotIndex]
+	if len(part) > limit {
+		part = part[:limit]
+	}
+	return append([]*wire.LogEntry(nil), part...)
+}
+
+// truncate drops the entry at index and all that follow.
+func (l *entryLog) truncate(index uint64) {
+	kept := l.entries[:index-l.snapshotIndex-1]
+	l.entries = append([]*wire.LogEntry(nil), kept...)
+}
+
+// compact drops entries up to and including index, whose term becomes the snapshot's.
+func (l *entryLog) compact(index uint64) {
+	term, ok := l.term(index)
+	if !ok {
+		return
+	}
+	l.entries = append([]*wire.LogEntry(nil), l.entries[index-l.snapshotIndex:]...)
+	l.snapshotIndex = index
+	l.snapshotTerm = term
+}
+
+// reset replaces the log by a snapshot.
+func (l *entryLog) reset(index, term uint64) {
+	l.snapshotIndex = index
+	l.snapshotTerm = term
+	l.entries = nil
+}
--- /dev/null
+++ b/coord/raft/replicate.go
@@ -0,0 +1,223 @@
+package raft
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoilcourse/wire"
+)
+
+const maxRoundsKept = 64
+
+// Step handles a message from another control VM; it is safe for messages to be lost, late,
+// repeated or out of order.
+func (n *Node) Step(now time.Time, m *wire.AgreementMessage) {
+	if m.GetTo() != n.Self {
+		return
+	}
+	switch m.GetKind() {
+	case wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE, wire.AgreementKind_AGREEMENT_KIND_VOTE:
+		n.stepVote(now, m)
+	case wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE_ANSWER, wire.AgreementKind_AGREEMENT_KIND_VOTE_ANSWER:
+		n.stepVoteAnswer(now, m)
+	case wire.AgreementKind_AGREEMENT_KIND_APPEND:
+		n.stepAppend(now, m)
+	case wire.AgreementKind_AGREEMENT_KIND_SNAPSHOT:
+		n.stepSnapshot(now, m)
+	case wire.AgreementKind_AGREEMENT_KIND_APPEND_ANSWER:
+		n.stepAppendAnswer(now, m)
+	}
+}
+
+// broadcast starts a round: every member is sent what it lacks, at least a heartbeat.
+func (n *Node) broadcast(now time.Time) {
+	n.round++
+	n.roundSent[n.round] = now
+	if n.round > maxRoundsKept {
+		delete(n.roundSent, n.round-maxRoundsKept)
+	}
+	n.nextRound = now.Add(n.HeartbeatInterval)
+	n.sendAppends(now)
+}
+
+func (n *Node) sendAppends(now time.Time) {
+	for _, member := range n.membership.GetMembers() {
+		key := MemberKey(member)
+		if p := n.progress[key]; p != nil {
+			n.sendAppend(now, key, p)
+		}
+	}
+}
+
+func (n *Node) sendAppend(now time.Time, key string, p *progress) {
+	previous := p.next - 1
+	term, ok := n.log.term(previous)
+	if !ok {
+		n.sendSnapshot(now, key, p)
+		return
+	}
+	n.send(&wire.AgreementMessage{
+		Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND, Term: n.term, To: key,
+		LogIndex: previous, LogTerm: term, Commit: n.commit, Round: n.round,
+		Entries: n.log.slice(p.next, n.log.last(), maxAppendEntries),
+	})
+}
+
+// sendSnapshot asks the driver to attach the state: the node itself does not keep it.
+func (n *Node) sendSnapshot(_ time.Time, key string, _ *progress) {
+	n.send(&wire.AgreementMessage{
+		Kind: wire.AgreementKind_AGREEMENT_KIND_SNAPSHOT, Term: n.term, To: key,
+		Commit: n.commit, Round: n.round,
+		Snapshot: &wire.LogSnapshot{
+			Index: n.log.snapshotIndex, Term: n.log.snapshotTerm,
+			Membership: proto.CloneOf(n.baseMembership),
+		},
+	})
+}
+
+// followLeader takes note of a leader's message and reports whether it is current.
+func (n *Node) followLeader(now time.Time, m *wire.AgreementMessage) bool {
+	if m.GetTerm() < n.term {
+		n.send(&wire.AgreementMessage{
+			Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND_ANSWER,
+			Term: n.term, To: m.GetFrom(), Reject: true, LogIndex: n.log.last(),
+		})
+		return false
+	}
+	n.becomeFollower(now, m.GetTerm(), m.GetFrom())
+	n.heardLeader = now
+	return true
+}
+
+func (n *Node) stepAppend(now time.Time, m *wire.AgreementMessage) {
+	if !n.followLeader(now, m) {
+		return
+	}
+	answer := &wire.AgreementMessage{
+		Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND_ANSWER,
+		Term: n.term, To: m.GetFrom(), Round: m.GetRound(),
+	}
+	if m.GetLogIndex() < n.log.snapshotIndex {
+		answer.LogIndex = n.log.snapshotIndex
+		n.send(answer)
+		return
+	}
+	term, ok := n.log.term(m.GetLogIndex())
+	if !ok || term != m.GetLogTerm() {
+		answer.Reject = true
+		answer.LogIndex = min(n.log.last(), m.GetLogIndex()-1)
+		n.send(answer)
+		return
+	}
+	n.appendFromLeader(m.GetEntries())
+	answer.LogIndex = m.GetLogIndex() + uint64(len(m.GetEntries()))
+	n.commit = max(n.commit, min(m.GetCommit(), answer.LogIndex))
+	n.send(answer)
+}
+
+func (n *Node) appendFromLeader(entries []*wire.LogEntry) {
+	for i, e := range entries {
+		term, ok := n.log.term(e.GetIndex())
+		if ok && term == e.GetTerm() {
+			continue
+		}
+		if ok {
+			n.truncate(e.GetIndex())
+		}
+		n.log.entries = append(n.log.entries, entries[i:]...)
+		n.effects.Entries = append(n.effects.Entries, entries[i:]...)
+		n.refreshMembership()
+		return
+	}
+}
+
+func (n *Node) truncate(index uint64) {
+	if index <= n.commit {
+		panic("raft: a committed entry would be overwritten")
+	}
+	n.log.truncate(index)
+	n.synced = min(n.synced, index-1)
+	keep := n.effects.Entries[:0:0]
+	for _, e := range n.effects.Entries {
+		if e.GetIndex() < index {
+			keep = append(keep, e)
+		}
+	}
+	n.effects.Entries = keep
+	if n.effects.TruncateFrom == 0 || index < n.effects.TruncateFrom {
+		n.effects.TruncateFrom = index
+	}
+}
+
+func (n *Node) stepSnapshot(now time.Time, m *wire.AgreementMessage) {
+	if !n.followLeader(now, m) {
+		return
+	}
+	s := m.GetSnapshot()
+	if s.GetIndex() > n.commit {
+		n.installSnapshot(s)
+	}
+	n.send(&wire.AgreementMessage{
+		Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND_ANSWER,
+		Term: n.term, To: m.GetFrom(), Round: m.GetRound(),
+		LogIndex: max(s.GetIndex(), n.commit),
+	})
+}
+
+func (n *Node) installSnapshot(s *wire.LogSnapshot) {
+	n.log.reset(s.GetIndex(), s.GetTerm())
+	n.baseMembership = s.GetMembership()
+	n.refreshMembership()
+	n.commit = s.GetIndex()
+	n.applied = s.GetIndex()
+	n.synced = s.GetIndex()
+	n.effects.Snapshot = s
+	n.effects.Install = s
+	n.effects.TruncateFrom = 0
+	n.effects.Entries = nil
+	n.effects.Committed = nil
+}
+
+func (n *Node) stepAppendAnswer(now time.Time, m *wire.AgreementMessage) {
+	if m.GetTerm() > n.term {
+		n.becomeFollower(now, m.GetTerm(), "")
+		return
+	}
+	p := n.progress[m.GetFrom()]
+	if n.role != Leader || m.GetTerm() != n.term || p == nil {
+		return
+	}
+	p.ackedRound = max(p.ackedRound, m.GetRound())
+	if m.GetReject() {
+		p.next = max(p.match+1, min(p.next-1, m.GetLogIndex()+1))
+		n.sendAppend(now, m.GetFrom(), p)
+		return
+	}
+	p.match = max(p.match, m.GetLogIndex())
+	p.next = max(p.next, p.match+1)
+	n.advanceCommit(now)
+	if p.next <= n.log.last() {
+		n.sendAppend(now, m.GetFrom(), p)
+	}
+}
+
+// advanceCommit commits the highest entry of this term that a majority of voters has synced.
+func (n *Node) advanceCommit(now time.Time) {
+	var matches []uint64
+	for _, key := range voters(n.membership) {
+		matches = append(matches, n.Match(key))
+	}
+	if len(matches) == 0 {
+		return
+	}
+	slices.Sort(matches)
+	index := matches[(len(matches)-1)/2]
+	term, ok := n.log.term(index)
+	if !ok || term != n.term || index <= n.commit {
+		return
+	}
+	n.commit = index
+	n.sendAppends(now)
+}
--- /dev/null
+++ b/coord/retry/doc.go
@@ -0,0 +1,6 @@
+// Package retry limits how much work retries may add.
+//
+//	budget := &retry.Budget{}
+//	budget.Request()
+//	if budget.Take() { ... }
+package retry
--- /dev/null
+++ b/coord/state/machine.go
@@ -0,0 +1,233 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoilcourse/coord/config"
+	"trefoilcourse/wire"
+)
+
+const (
+	maxResults    = 4096
+	maxHistory    = 1024
+	maxTombstones = 4096
+)
+
+// Machine is the replicated state; it is not safe for concurrent use.
+type Machine struct {
+	version     uint64
+	objects     map[config.Key]*wire.Object
+	results     []*wire.PublishResult
+	history     []*wire.HistoryEntry
+	primaries   map[string]*wire.Primary
+	oldestDelta uint64
+}
+
+// New returns the state before the first command.
+func New() *Machine {
+	return &Machine{objects: map[config.Key]*wire.Object{}, primaries: map[string]*wire.Primary{}}
+}
+
+// Version returns the configuration version, 0 before the first publish.
+func (m *Machine) Version() uint64 { return m.version }
+
+// Primary returns the recorded primary of a group, or nil.
+func (m *Machine) Primary(group string) *wire.Primary { return m.primaries[group] }
+
+// History returns the accepted versions, oldest first.
+func (m *Machine) History() []*wire.HistoryEntry { return slices.Clone(m.history) }
+
+// Apply applies one encoded command and returns the outcome if it was a publish.
+func (m *Machine) Apply(data []byte) (*wire.PublishResult, error) {
+	command := &wire.Command{}
+	if err := proto.Unmarshal(data, command); err != nil {
+		return nil, fmt.Errorf("command does not decode: %w", err)
+	}
+	if p := command.GetPrimary(); p != nil {
+		m.applyPrimary(p)
+	}
+	if p := command.GetPublish(); p != nil {
+		return m.applyPublish(p), nil
+	}
+	return nil, nil
+}
+
+// applyPrimary records a primary unless a later term is known.
+func (m *Machine) applyPrimary(p *wire.Primary) {
+	if p.GetTerm() >= m.primaries[p.GetGroup()].GetTerm() {
+		m.primaries[p.GetGroup()] = p
+	}
+}
+
+func (m *Machine) applyPublish(p *wire.PublishRequest) *wire.PublishResult {
+	if earlier := m.Result(p.GetId()); earlier != nil {
+		return earlier
+	}
+	result := &wire.PublishResult{Id: p.GetId(), Version: m.version}
+	if p.GetBaseVersion() != m.version {
+		winner := m.winner(p.GetBaseVersion() + 1)
+		result.WinnerId = winner.GetId()
+		result.WinnerAuthor = winner.GetAuthor()
+		result.Reason = fmt.Sprintf("the publish builds on version %d, but version %d is in force", p.GetBaseVersion(), m.version)
+	} else {
+		m.accept(p, result)
+	}
+	m.results = append(m.results, result)
+	if len(m.results) > maxResults {
+		m.results = m.results[1:]
+	}
+	return result
+}
+
+// Result returns the recorded outcome of a publish, or nil.
+func (m *Machine) Result(id string) *wire.PublishResult {
+	for _, r := range m.results {
+		if r.GetId() == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (m *Machine) winner(version uint64) *wire.HistoryEntry {
+	for _, h := range m.history {
+		if h.GetVersion() == version {
+			return h
+		}
+	}
+	return nil
+}
+
+func (m *Machine) accept(p *wire.PublishRequest, result *wire.PublishResult) {
+	m.version++
+	changed := m.replace(p.GetObjects())
+	result.Accepted = true
+	result.Version = m.version
+	m.history = append(m.history, &wire.HistoryEntry{
+		Version: m.version, Id: p.GetId(), Author: p.GetAuthor(), Changed: changed,
+	})
+	if len(m.history) > maxHistory {
+		m.history = m.history[1:]
+	}
+	m.dropTombstones()
+}
+
+// replace makes the live objects equal to wanted and returns how many differ from before.
+func (m *Machine) replace(wanted []*wire.Object) uint32 {
+	changed := uint32(0)
+	kept := map[config.Key]bool{}
+	for _, o := range wanted {
+		key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
+		kept[key] = true
+		old := m.objects[key]
+		if old != nil && !old.GetDeleted() && string(old.GetBody()) == string(o.GetBody()) {
+			continue
+		}
+		changed++
+		m.objects[key] = &wire.Object{Kind: key.Kind, Name: key.Name, Body: o.GetBody(), Version: m.version}
+	}
+	for key, old := range m.objects {
+		if !kept[key] && !old.GetDeleted() {
+			changed++
+			m.objects[key] = &wire.Object{Kind: key.Kind, Name: key.Name, Deleted: true, Version: m.version}
+		}
+	}
+	return changed
+}
+
+func (m *Machine) dropTombstones() {
+	var dead []*wire.Object
+	for _, o := range m.objects {
+		if o.GetDeleted() {
+			dead = append(dead, o)
+		}
+	}
+	if len(dead) <= maxTombstones {
+		return
+	}
+	sortObjects(dead)
+	slices.SortStableFunc(dead, func(a, b *wire.Object) int { return cmp.Compare(a.GetVersion(), b.GetVersion()) })
+	for _, o := range dead[:len(dead)-maxTombstones] {
+		delete(m.objects, config.Key{Kind: o.GetKind(), Name: o.GetName()})
+		m.oldestDelta = max(m.oldestDelta, o.GetVersion())
+	}
+}
+
+// Objects returns the live objects in order of kind and name.
+func (m *Machine) Objects() []*wire.Object {
+	var live []*wire.Object
+	for _, o := range m.objects {
+		if !o.GetDeleted() {
+			live = append(live, o)
+		}
+	}
+	sortObjects(live)
+	return live
+}
+
+// Since returns what a holder of version lacks: the changes, or with whole set all live
+// objects when the changes are not known or not fewer.
+func (m *Machine) Since(version uint64) (objects []*wire.Object, whole bool) {
+	if version == m.version {
+		return nil, false
+	}
+	if version > m.version || version < m.oldestDelta || version == 0 {
+		return m.Objects(), true
+	}
+	for _, o := range m.objects {
+		if o.GetVersion() > version {
+			objects = append(objects, o)
+		}
+	}
+	if live := m.Objects(); len(objects) > len(live) {
+		return live, true
+	}
+	sortObjects(objects)
+	return objects, false
+}
+
+// Snapshot returns the state encoded, equal for equal states.
+func (m *Machine) Snapshot() []byte {
+	s := &wire.ControlState{Version: m.version, Results: m.results, History: m.history, OldestDelta: m.oldestDelta}
+	s.Objects = slices.Collect(maps.Values(m.objects))
+	sortObjects(s.Objects)
+	for _, group := range slices.Sorted(maps.Keys(m.primaries)) {
+		s.Primaries = append(s.Primaries, m.primaries[group])
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		panic(fmt.Sprintf("state: snapshot does not encode: %v", err))
+	}
+	return data
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	s := &wire.ControlState{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return fmt.Errorf("snapshot of the control state does not decode: %w", err)
+	}
+	*m = *New()
+	m.version = s.GetVersion()
+	m.results = s.GetResults()
+	m.history = s.GetHistory()
+	m.oldestDelta = s.GetOldestDelta()
+	for _, o := range s.GetObjects() {
+		m.objects[config.Key{Kind: o.GetKind(), Name: o.GetName()}] = o
+	}
+	for _, p := range s.GetPrimaries() {
+		m.primaries[p.GetGroup()] = p
+	}
+	return nil
+}
+
+func sortObjects(objects []*wire.Object) {
+	slices.SortFunc(objects, func(a, b *wire.Object) int {
+		return cmp.Or(cmp.Compare(a.GetKind(), b.GetKind()), cmp.Compare(a.GetName(), b.GetName()))
+	})
+}
--- /dev/null
+++ b/coord/statement/classify.go
@@ -0,0 +1,198 @@
+package statement
+
+import "strings"
+
+// Class is how a statement is routed.
+type Class int
+
+// The classes, from the most to the least restricted.
+const (
+	// Empty has no statement.
+	Empty Class = iota
+	// Read may run on a replica.
+	Read
+	// Write must run on the primary.
+	Write
+	// Begin starts a transaction on the primary.
+	Begin
+	// BeginReadOnly starts a transaction that may run on a replica.
+	BeginReadOnly
+	// End ends a transaction and may commit it.
+	End
+	// SessionState changes what a shared connection cannot keep for one caller.
+	SessionState
+	// Setting changes a setting of the proxy.
+	Setting
+)
+
+const settingPrefix = "TREFOIL."
+
+// Classify returns the class of a statement text; several statements in one text are a write.
+func Classify(text string) Class {
+	text, several := single(text)
+	first, rest := word(text)
+	if several {
+		return classifySeveral(text)
+	}
+	switch first {
+	case "":
+		return Empty
+	case "SELECT", "TABLE", "VALUES":
+		return classifySelect(rest)
+	case "BEGIN", "START":
+		return classifyBegin(rest)
+	case "COMMIT", "END", "ROLLBACK", "ABORT":
+		return classifyEnd(rest)
+	case "SET":
+		return classifySet(rest)
+	case "SHOW":
+		return classifyShow(rest)
+	case "RESET", "LISTEN", "UNLISTEN", "PREPARE", "DEALLOCATE", "DISCARD", "LOAD", "DECLARE":
+		return sessionUnlessLocal(first, rest)
+	case "CREATE":
+		return classifyCreate(rest)
+	}
+	return Write
+}
+
+// classifySeveral refuses session state in any of several statements; the rest is a write.
+func classifySeveral(text string) Class {
+	for part := range strings.SplitSeq(text, ";") {
+		if Classify(part) == SessionState {
+			return SessionState
+		}
+	}
+	return Write
+}
+
+func classifySelect(rest string) Class {
+	upper := strings.ToUpper(rest)
+	if strings.Contains(upper, "PG_ADVISORY_LOCK") || strings.Contains(upper, "PG_TRY_ADVISORY_LOCK") {
+		return SessionState
+	}
+	if strings.Contains(upper, "FOR UPDATE") || strings.Contains(upper, "FOR SHARE") ||
+		strings.Contains(upper, "FOR NO KEY") || strings.Contains(upper, "FOR KEY") {
+		return Write
+	}
+	return Read
+}
+
+func classifyBegin(rest string) Class {
+	if strings.Contains(strings.ToUpper(rest), "READ ONLY") {
+		return BeginReadOnly
+	}
+	return Begin
+}
+
+func classifyEnd(rest string) Class {
+	if first, _ := word(rest); first == "TO" || first == "PREPARED" {
+		return Write
+	}
+	return End
+}
+
+func classifySet(rest string) Class {
+	first, _ := word(rest)
+	switch {
+	case strings.HasPrefix(first, settingPrefix):
+		return Setting
+	case first == "LOCAL" || first == "TRANSACTION" || first == "CONSTRAINTS":
+		return Write
+	}
+	return SessionState
+}
+
+func classifyShow(rest string) Class {
+	if first, _ := word(rest); strings.HasPrefix(first, settingPrefix) {
+		return Setting
+	}
+	return Read
+}
+
+// sessionUnlessLocal lets cursors through that end with their transaction.
+func sessionUnlessLocal(first, rest string) Class {
+	if first == "DECLARE" && !strings.Contains(strings.ToUpper(rest), "WITH HOLD") {
+		return Write
+	}
+	if first == "PREPARE" {
+		if second, _ := word(rest); second == "TRANSACTION" {
+			return Write
+		}
+	}
+	return SessionState
+}
+
+func classifyCreate(rest string) Class {
+	first, _ := word(rest)
+	if first == "TEMP" || first == "TEMPORARY" || first == "LOCAL" || first == "GLOBAL" {
+		return SessionState
+	}
+	return Write
+}
+
+// SettingOf splits SET trefoil.NAME = 'VALUE' or SHOW trefoil.NAME; show is true for the latter.
+func SettingOf(text string) (name, value string, show bool) {
+	text, _ = single(text)
+	first, rest := word(text)
+	key, rest := word(rest)
+	name = strings.ToLower(strings.TrimPrefix(key, settingPrefix))
+	if first == "SHOW" {
+		return name, "", true
+	}
+	rest = strings.TrimSpace(rest)
+	if after, ok := strings.CutPrefix(rest, "="); ok {
+		rest = after
+	} else if second, after := word(rest); second == "TO" {
+		rest = after
+	}
+	return name, strings.Trim(strings.TrimSpace(rest), "'"), false
+}
+
+// single strips comments in front and a final semicolon; several reports whether text may hold
+// more than one statement.
+func single(text string) (string, bool) {
+	text = skipSpace(text)
+	text = strings.TrimRight(text, "; \t\r\n")
+	return text, strings.Contains(text, ";")
+}
+
+func skipSpace(text string) string {
+	for {
+		text = strings.TrimLeft(text, " \t\r\n(")
+		switch {
+		case strings.HasPrefix(text, "--"):
+			_, after, _ := strings.Cut(text, "\n")
+			text = after
+		case strings.HasPrefix(text, "/*"):
+			_, after, found := strings.Cut(text, "*/")
+			if !found {
+				return ""
+			}
+			text = after
+		default:
+			return text
+		}
+	}
+}
+
+// word returns the first word of text in upper case and what follows it.
+func word(text string) (string, string) {
+	text = skipSpace(text)
+	end := strings.IndexFunc(text, func(r rune) bool {
+		return !isWordRune(r)
+	})
+	if end < 0 {
+		end = len(text)
+	}
+	return strings.ToUpper(text[:end]), text[end:]
+}
+
+func isWordRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_' || r == '.'
+}
+
+// MayCommit reports whether text could end a transaction; it errs towards true.
+func MayCommit(text string) bool {
+	upper := strings.ToUpper(text)
+	return strings.Contains(upper, "COMMIT") || strings.Contains(upper, "END") || strings.Contains(upper, "PREPARE")
+}
--- /dev/null
+++ b/entry/caller/exchange.go
@@ -0,0 +1,514 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"trefoilcourse/coord/session"
+	"trefoilcourse/coord/statement"
+	"trefoilcourse/entry/internal/frame"
+	"trefoilcourse/entry/internal/outcome"
+	"trefoilcourse/wire"
+)
+
+const (
+	redirectPause    = 20 * time.Millisecond
+	floorSetting     = "trefoil.floor"
+	refusedStatement = "trefoilcourse refuses a change of session state"
+)
+
+// sent is a frame that was forwarded, with what its answer means here.
+type sent struct {
+	frame frame.Frame
+	// hidden frames were added by the proxy; their answers are not passed on.
+	hidden bool
+	// name is the statement that a Parse makes known; empty for none.
+	name string
+	text string
+}
+
+// exchange is a unit of work under way at an owner.
+type exchange struct {
+	session  *connection
+	open     *wire.Open
+	began    time.Time
+	deadline time.Time
+
+	// The following are guarded by session.mu.
+	stream   net.Conn
+	writer   *frame.Writer
+	tracker  frame.Tracker
+	kept     []sent
+	keptSize int
+	complete bool
+	answered bool
+	over     bool
+	hungUp   bool
+	known    map[string]bool
+	parses   []sent
+	refusing bool
+}
+
+// exchange starts a unit of work with its first batch.
+func (c *connection) exchange(ctx context.Context, batch []frame.Frame, class statement.Class) {
+	now := time.Now()
+	x := &exchange{
+		session: c, began: now, deadline: now.Add(c.deadline), complete: true, known: map[string]bool{},
+		open: &wire.Open{Group: c.group, User: c.user, StalenessMilliseconds: uint32(c.staleness.Milliseconds())},
+	}
+	if class == statement.Read || class == statement.BeginReadOnly {
+		x.open.Access = wire.Access_ACCESS_READ
+	}
+	if refusal := c.useKey(x, batch, class); refusal != nil {
+		c.refuseBatch(batch, refusal)
+		return
+	}
+	c.mu.Lock()
+	x.open.Floor = c.floor.Wire()
+	x.open.FloorKnown = c.floorKnown
+	for _, f := range batch {
+		x.add(f)
+	}
+	c.active = x
+	c.mu.Unlock()
+	c.server.open.Go(func() { x.run(ctx) })
+}
+
+// useKey takes the request key for a batch that runs something; a key serves once.
+func (c *connection) useKey(x *exchange, batch []frame.Frame, class statement.Class) *outcome.Refusal {
+	runs := slices.ContainsFunc(batch, func(f frame.Frame) bool {
+		return f.Type == frame.Query || f.Type == frame.Execute
+	})
+	if c.requestKey == "" || !runs {
+		return nil
+	}
+	key := c.requestKey
+	c.requestKey = ""
+	if class != statement.Write && class != statement.Read {
+		return badSetting("request key %q is for a batch outside of a transaction", key)
+	}
+	x.open.RequestKey = key
+	x.open.Access = wire.Access_ACCESS_WRITE
+	return nil
+}
+
+// add takes a frame of the caller, with a Parse in front of it if the owner lacks a statement;
+// session.mu is held.
+func (x *exchange) add(f frame.Frame) []sent {
+	var added []sent
+	s := sent{frame: f}
+	switch f.Type {
+	case frame.Parse:
+		var m pgproto3.Parse
+		if m.Decode(f.Body) == nil {
+			s.name, s.text = m.Name, m.Query
+			x.known[m.Name] = true
+		}
+	case frame.Bind, frame.Describe:
+		if parse, ok := x.missing(f); ok {
+			added = append(added, parse)
+		}
+	case frame.Close:
+		var m pgproto3.Close
+		if m.Decode(f.Body) == nil && m.ObjectType == 'S' {
+			delete(x.session.statements, m.Name)
+			delete(x.known, m.Name)
+		}
+	}
+	added = append(added, s)
+	x.tracker.Sent(f)
+	for _, a := range added {
+		if a.frame.Type == frame.Parse {
+			x.parses = append(x.parses, a)
+		}
+		x.keptSize += a.frame.Size()
+	}
+	if !x.complete {
+		return added
+	}
+	x.kept = append(x.kept, added...)
+	if x.keptSize > maxBatchBytes && x.stream != nil {
+		x.complete = false
+		x.kept = nil
+	}
+	return added
+}
+
+// missing returns the Parse of a statement that f uses and the owner has not been told of.
+func (x *exchange) missing(f frame.Frame) (sent, bool) {
+	name := ""
+	if f.Type == frame.Bind {
+		var m pgproto3.Bind
+		if m.Decode(f.Body) == nil {
+			name = m.PreparedStatement
+		}
+	} else {
+		var m pgproto3.Describe
+		if m.Decode(f.Body) == nil && m.ObjectType == 'S' {
+			name = m.Name
+		}
+	}
+	n, ok := x.session.statements[name]
+	if name == "" || !ok || x.known[name] {
+		return sent{}, false
+	}
+	x.known[name] = true
+	return sent{frame: n.parse, hidden: true, name: name, text: n.text}, true
+}
+
+// feed takes a further frame of the caller; false means that the unit is over.
+func (x *exchange) feed(f frame.Frame) bool {
+	c := x.session
+	text, runs := c.textOf(f)
+	refused := runs && statement.Classify(text) == statement.SessionState
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x.over {
+		return false
+	}
+	if refused {
+		f = refusedFrame(f)
+		x.refusing = true
+	}
+	added := x.add(f)
+	if x.stream == nil {
+		return true
+	}
+	for _, a := range added {
+		if x.writer.Write(a.frame) != nil {
+			return true
+		}
+	}
+	switch f.Type {
+	case frame.Parse, frame.Bind, frame.Describe, frame.Execute, frame.Close:
+		return true
+	}
+	// A failed write is found out by the goroutine that reads the owner's answers.
+	_ = x.writer.Flush()
+	return true
+}
+
+// refusedFrame replaces a change of session state by a statement that fails, so that the
+// transaction it stands in fails as it would with a server's own refusal.
+func refusedFrame(f frame.Frame) frame.Frame {
+	if f.Type == frame.Query {
+		return frame.Of(&pgproto3.Query{String: refusedStatement})
+	}
+	var m pgproto3.Parse
+	if m.Decode(f.Body) != nil {
+		return f
+	}
+	return frame.Of(&pgproto3.Parse{Name: m.Name, Query: refusedStatement})
+}
+
+// run finds an owner and passes its answers on until the unit is over.
+func (x *exchange) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	refusal := notServed(x.session.group)
+	for attempt := 0; ; attempt++ {
+		vm, last := x.session.server.ownerFor(x.session.group, attempt)
+		next := x.attempt(ctx, vm)
+		if next == nil {
+			return
+		}
+		if vm != "" {
+			refusal = next
+		}
+		if last && refusal.Code == outcome.QueueFull || !x.wait(ctx, last) {
+			x.finish(refusal)
+			return
+		}
+	}
+}
+
+// wait pauses before the owners are tried anew; false means that there is no time left.
+func (x *exchange) wait(ctx context.Context, last bool) bool {
+	if !last {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(redirectPause):
+		return true
+	}
+}
+
+func notServed(group string) *outcome.Refusal {
+	return outcome.NotRun(outcome.NotOwner, "no entry VM serves database "+group+" now", "Send it again; owners change within seconds.")
+}
+
+// ownerFor returns the owner to try: this VM first, then those nearby; last is true for the
+// last of them.
+func (s *Server) ownerFor(group string, attempt int) (vm string, last bool) {
+	owners := slices.Clone(s.View.Group(group).GetOwners())
+	if len(owners) == 0 {
+		return "", true
+	}
+	slices.SortStableFunc(owners, func(a, b string) int { return s.distance(a) - s.distance(b) })
+	i := attempt % len(owners)
+	return owners[i], i == len(owners)-1
+}
+
+func (s *Server) distance(vm string) int {
+	switch {
+	case vm == s.VM:
+		return 0
+	case s.View.Member(vm).GetFailureDomain() == s.FailureDomain:
+		return 1
+	}
+	return 2
+}
+
+// attempt runs the unit at one owner; a refusal means that it was not run there and may be
+// tried at another.
+func (x *exchange) attempt(ctx context.Context, vm string) *outcome.Refusal {
+	c := x.session
+	x.open.DeadlineMilliseconds = uint32(max(1, time.Until(x.deadline).Milliseconds()))
+	stream, err := c.server.Links.Open(ctx, c.server.View.Member(vm).GetLinkAddress(), x.open)
+	if err != nil {
+		return notServed(c.group)
+	}
+	defer func() { _ = stream.Close() }()
+	c.server.Metrics.LinkStreams.Add(1)
+	if !x.connect(stream) {
+		return nil
+	}
+	reader := frame.NewReader(stream)
+	for {
+		f, err := reader.Next()
+		if err != nil {
+			return x.broken()
+		}
+		if f.Type == frame.Refusal {
+			return x.refused(f)
+		}
+		if x.pass(f, !reader.Buffered()) {
+			return nil
+		}
+	}
+}
+
+// connect gives the unit a stream and sends what has been kept.
+func (x *exchange) connect(stream net.Conn) bool {
+	c := x.session
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x.hungUp {
+		return false
+	}
+	x.stream = stream
+	x.writer = frame.NewWriter(stream)
+	x.parses = nil
+	for _, s := range x.kept {
+		if s.frame.Type == frame.Parse {
+			x.parses = append(x.parses, s)
+		}
+		if x.writer.Write(s.frame) != nil {
+			return true
+		}
+	}
+	_ = x.writer.Flush()
+	return true
+}
+
+// pass passes one frame on and reports whether the unit is over. The frame is noted and written
+// under one lock, so that no answer to a later unit can overtake it.
+func (x *exchange) pass(f frame.Frame, flush bool) bool {
+	c := x.session
+	c.writing.Lock()
+	f, drop, over := x.take(f)
+	if drop {
+		c.writing.Unlock()
+		return false
+	}
+	err := c.writer.Write(f)
+	if err == nil && (flush || f.Type == frame.ReadyForQuery) {
+		err = c.writer.Flush()
+	}
+	c.writing.Unlock()
+	if err != nil {
+		x.hangUp()
+		x.ended(over)
+		return true
+	}
+	if over {
+		x.ended(true)
+	}
+	return over
+}
+
+// take notes what a frame says and returns it as the caller is to get it.
+func (x *exchange) take(f frame.Frame) (out frame.Frame, drop, over bool) {
+	c := x.session
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch f.Type {
+	case frame.ParseComplete:
+		return f, x.prepared(), false
+	case frame.ParameterStatus:
+		x.takeFloor(f)
+		return f, false, false
+	case frame.ErrorResponse:
+		if x.refusing {
+			f = refusedState().Frame()
+			x.refusing = false
+		}
+	case frame.ReadyForQuery:
+		x.refusing = false
+		x.parses = nil
+		over = x.tracker.Ready(f.Body[0])
+		x.over = over
+	}
+	x.answered = true
+	x.complete = false
+	x.kept = nil
+	return f, false, over
+}
+
+// prepared takes note of a ParseComplete and reports whether it is hidden from the caller.
+func (x *exchange) prepared() bool {
+	if len(x.parses) == 0 {
+		return false
+	}
+	first := x.parses[0]
+	x.parses = x.parses[1:]
+	if first.hidden {
+		return true
+	}
+	if first.name != "" {
+		x.session.statements[first.name] = named{parse: first.frame, text: first.text}
+	}
+	x.answered = true
+	x.complete = false
+	x.kept = nil
+	return false
+}
+
+func (x *exchange) takeFloor(f frame.Frame) {
+	var m pgproto3.ParameterStatus
+	if m.Decode(f.Body) != nil || m.Name != floorSetting {
+		return
+	}
+	if p, err := session.ParsePosition(m.Value); err == nil {
+		x.session.floor = x.session.floor.Max(p)
+		x.session.floorKnown = true
+	}
+}
+
+// refused deals with an owner's refusal; nil means that the caller has been told.
+func (x *exchange) refused(f frame.Frame) *outcome.Refusal {
+	f.Type = frame.ErrorResponse
+	r, _ := outcome.Parse(f)
+	if r == nil {
+		r = outcome.MayHaveRun("the owner's answer does not decode")
+	}
+	if r.Elsewhere() && x.detach() {
+		return r
+	}
+	x.finish(r)
+	return nil
+}
+
+// broken deals with a stream that ended without an answer: a read may be run elsewhere.
+func (x *exchange) broken() *outcome.Refusal {
+	c := x.session
+	if x.open.GetAccess() == wire.Access_ACCESS_READ && x.detach() {
+		return notServed(c.group)
+	}
+	c.mu.Lock()
+	inTransaction := x.tracker.InTransaction()
+	outstanding := x.tracker.Outstanding()
+	c.mu.Unlock()
+	r := outcome.MayHaveRun("the owner of the database was lost before it answered")
+	if inTransaction && outstanding == 0 {
+		r = outcome.NotRun(outcome.TransactionLost, "the owner of the database was lost, so the transaction is rolled back", "Connect again and repeat the whole transaction.")
+	}
+	r.Fatal = inTransaction
+	x.finish(r)
+	return nil
+}
+
+// detach takes the stream away if all that the caller sent is kept and nothing was answered.
+func (x *exchange) detach() bool {
+	c := x.session
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.stream = nil
+	return x.complete && !x.answered && !x.hungUp
+}
+
+// finish ends the unit with an outcome other than done.
+func (x *exchange) finish(r *outcome.Refusal) {
+	c := x.session
+	c.mu.Lock()
+	x.over = true
+	pending := x.tracker.Outstanding()
+	open := x.tracker.BatchOpen()
+	inTransaction := x.tracker.InTransaction()
+	hungUp := x.hungUp
+	c.mu.Unlock()
+	if hungUp {
+		x.ended(false)
+		return
+	}
+	if r.Fatal || open || inTransaction {
+		c.fatal(r)
+		x.ended(false)
+		_ = c.conn.Close()
+		return
+	}
+	frames := []frame.Frame{r.Frame()}
+	for range pending {
+		frames = append(frames, frame.Ready(frame.Idle))
+	}
+	_ = c.send(frames, true)
+	x.ended(false)
+}
+
+// ended makes room for the next unit of work.
+func (x *exchange) ended(done bool) {
+	c := x.session
+	service, objective, _ := c.server.View.ServiceOf(c.group)
+	limit := time.Duration(objective.LatencyMilliseconds) * time.Millisecond
+	c.server.Metrics.Request(service, done, time.Since(x.began), limit)
+	c.mu.Lock()
+	x.over = true
+	if c.active == x {
+		c.active = nil
+	}
+	c.mu.Unlock()
+	if c.server.isDraining() {
+		c.endIdle()
+	}
+}
+
+// hangUp ends the unit since the caller is gone.
+func (x *exchange) hangUp() {
+	c := x.session
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.hungUp = true
+	if x.stream != nil {
+		_ = x.stream.SetDeadline(time.Now())
+		_ = x.stream.Close()
+	}
+}
+
+// cancel asks the owner to cancel what runs.
+func (x *exchange) cancel() {
+	c := x.session
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x.stream == nil || x.over {
+		return
+	}
+	if x.writer.Write(frame.Frame{Type: frame.Cancel}) == nil {
+		_ = x.writer.Flush()
+	}
+}
--- /dev/null
+++ b/entry/caller/local.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"trefoilcourse/coord/statement"
+	"trefoilcourse/entry/internal/frame"
+)
+
+// answerLocally answers a batch that concerns only the proxy: its settings, the names of
+// statements, or nothing at all.
+func (c *connection) answerLocally(batch []frame.Frame) {
+	var answer []frame.Frame
+	text := ""
+	for _, f := range batch {
+		var part []frame.Frame
+		part, text = c.answerOne(f, text)
+		answer = append(answer, part...)
+		if len(part) > 0 && part[len(part)-1].Type == frame.ErrorResponse {
+			c.afterError(batch, answer)
+			return
+		}
+	}
+	_ = c.send(answer, true)
+}
+
+// answerOne answers one frame; text is the statement that is bound.
+func (c *connection) answerOne(f frame.Frame, text string) ([]frame.Frame, string) {
+	switch f.Type {
+	case frame.Query:
+		text, _ = c.textOf(f)
+		if statement.Classify(text) == statement.Empty {
+			return []frame.Frame{frame.Of(&pgproto3.EmptyQueryResponse{}), frame.Ready(frame.Idle)}, text
+		}
+		answer := c.answerSetting(text, true)
+		if answer[len(answer)-1].Type == frame.ErrorResponse {
+			return answer, text
+		}
+		return append(answer, frame.Ready(frame.Idle)), text
+	case frame.Parse:
+		var m pgproto3.Parse
+		_ = m.Decode(f.Body)
+		if m.Name != "" {
+			c.remember(m.Name, named{parse: f, text: m.Query})
+		}
+		return []frame.Frame{frame.Of(&pgproto3.ParseComplete{})}, m.Query
+	case frame.Bind:
+		if bound, ok := c.textOf(f); ok {
+			text = bound
+		}
+		return []frame.Frame{frame.Of(&pgproto3.BindComplete{})}, text
+	case frame.Describe:
+		return c.describeSetting(f, text), text
+	case frame.Execute:
+		return c.answerSetting(text, false), text
+	case frame.Close:
+		var m pgproto3.Close
+		if m.Decode(f.Body) == nil && m.ObjectType == 'S' {
+			c.forgetStatement(m.Name)
+		}
+		return []frame.Frame{frame.Of(&pgproto3.CloseComplete{})}, text
+	case frame.Sync:
+		return []frame.Frame{frame.Ready(frame.Idle)}, text
+	}
+	return nil, text
+}
+
+func (c *connection) describeSetting(f frame.Frame, text string) []frame.Frame {
+	if named, ok := c.textOf(f); ok {
+		text = named
+	}
+	var m pgproto3.Describe
+	if m.Decode(f.Body) == nil && m.ObjectType == 'S' {
+		return []frame.Frame{frame.Of(&pgproto3.ParameterDescription{}), settingColumns(text)}
+	}
+	return []frame.Frame{settingColumns(text)}
+}
+
+func (c *connection) remember(name string, n named) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.statements[name] = n
+}
+
+func (c *connection) forgetStatement(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.statements, name)
+}
--- /dev/null
+++ b/entry/control/client.go
@@ -0,0 +1,235 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"trefoilcourse/entry/internal/view"
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+const (
+	// RenewInterval is the time between two renewals when nothing presses.
+	RenewInterval = 500 * time.Millisecond
+	// urgentInterval is the least time between two renewals.
+	urgentInterval   = 50 * time.Millisecond
+	renewTimeout     = 400 * time.Millisecond
+	maxAnnouncements = 4096
+)
+
+var errNoLeader = errors.New("no control VM leads")
+
+// Reporter tells what this VM holds and has found out.
+type Reporter interface {
+	// Report fills in holdings and observations and reports whether an early answer is wanted.
+	Report(now time.Time, r *wire.RenewRequest) (urgent bool)
+}
+
+// Client renews with the control leader; set the exported fields before Run.
+type Client struct {
+	VM            string
+	Incarnation   string
+	FailureDomain string
+	LinkAddress   string
+	// Addresses are the control VMs'.
+	Addresses []string
+	// Dialer opens connections; nil means plain TCP.
+	Dialer protorpc.Dialer
+	// View takes the answers.
+	View *view.View
+	// Reporter is asked before each renewal.
+	Reporter Reporter
+	// Traffic counts the bytes.
+	Traffic *protorpc.Traffic
+
+	mu            sync.Mutex
+	poke          chan struct{}
+	draining      bool
+	announcements map[string]*wire.Announcement
+	sequence      uint64
+	preferred     int
+	clients       map[string]*protorpc.Client
+	leader        string
+	failures      uint64
+}
+
+// Prepare makes the client ready for Poke and Announce before Run.
+func (c *Client) Prepare() {
+	c.poke = make(chan struct{}, 1)
+	c.announcements = map[string]*wire.Announcement{}
+	c.clients = map[string]*protorpc.Client{}
+}
+
+// Poke asks for a renewal soon.
+func (c *Client) Poke() {
+	select {
+	case c.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Announce passes a backend server's announcement on with the next renewal; one that changes
+// what is known is passed on at once. It reports false when too many servers announce.
+func (c *Client) Announce(a *wire.Announcement, urgent bool) bool {
+	c.mu.Lock()
+	key := a.GetGroup() + "/" + a.GetSlot()
+	_, known := c.announcements[key]
+	full := !known && len(c.announcements) >= maxAnnouncements
+	if !full {
+		c.announcements[key] = a
+	}
+	c.mu.Unlock()
+	if urgent && !full {
+		c.Poke()
+	}
+	return !full
+}
+
+// SetDraining tells the control leader to give this VM no more groups.
+func (c *Client) SetDraining() {
+	c.mu.Lock()
+	c.draining = true
+	c.mu.Unlock()
+	c.Poke()
+}
+
+// Failures returns how many renewals have failed.
+func (c *Client) Failures() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failures
+}
+
+// Run renews until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	defer c.close()
+	for {
+		urgent := c.renew(ctx)
+		wait := RenewInterval
+		if urgent {
+			wait = 2 * urgentInterval
+		}
+		if !c.pause(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+func (c *Client) close() {
+	for _, client := range c.clients {
+		client.Close()
+	}
+}
+
+// pause waits for the time, or less when poked; false means that ctx has ended.
+func (c *Client) pause(ctx context.Context, wait time.Duration) bool {
+	least := time.NewTimer(urgentInterval)
+	defer least.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-least.C:
+	}
+	rest := time.NewTimer(wait - urgentInterval)
+	defer rest.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.poke:
+	case <-rest.C:
+	}
+	return true
+}
+
+// renew makes one renewal and reports whether the next is wanted early.
+func (c *Client) renew(ctx context.Context) bool {
+	request, sent := c.request()
+	urgent := c.Reporter.Report(time.Now(), request)
+	asked := time.Now()
+	response, err := c.ask(ctx, request)
+	if err != nil {
+		c.mu.Lock()
+		c.failures++
+		c.mu.Unlock()
+		return true
+	}
+	if !c.View.Answered(asked, response) {
+		return true
+	}
+	c.forget(sent)
+	return urgent
+}
+
+func (c *Client) request() (*wire.RenewRequest, map[string]*wire.Announcement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sequence++
+	request := &wire.RenewRequest{
+		Vm: c.VM, Incarnation: c.Incarnation, FailureDomain: c.FailureDomain,
+		LinkAddress: c.LinkAddress, Draining: c.draining, Sequence: c.sequence,
+	}
+	sent := map[string]*wire.Announcement{}
+	for key, a := range c.announcements {
+		sent[key] = a
+		request.Announcements = append(request.Announcements, a)
+	}
+	c.View.Fill(request)
+	return request, sent
+}
+
+// forget drops the announcements that were passed on and not replaced since.
+func (c *Client) forget(sent map[string]*wire.Announcement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, a := range sent {
+		if c.announcements[key] == a {
+			delete(c.announcements, key)
+		}
+	}
+}
+
+// ask sends the request to the leader as far as it is known, and otherwise to each control VM.
+func (c *Client) ask(ctx context.Context, request *wire.RenewRequest) (*wire.RenewResponse, error) {
+	address := c.leader
+	if address == "" {
+		address = c.Addresses[c.preferred%len(c.Addresses)]
+		c.preferred++
+	}
+	response, err := c.call(ctx, address, request)
+	if err != nil || !response.GetAccepted() {
+		c.leader = response.GetLeaderAddress()
+		if err == nil && c.leader != "" && c.leader != address {
+			response, err = c.call(ctx, c.leader, request)
+		}
+	}
+	if err != nil {
+		c.leader = ""
+		return nil, err
+	}
+	if !response.GetAccepted() {
+		c.leader = ""
+		return nil, errNoLeader
+	}
+	if c.leader == "" {
+		c.leader = address
+	}
+	return response, nil
+}
+
+func (c *Client) call(ctx context.Context, address string, request *wire.RenewRequest) (*wire.RenewResponse, error) {
+	client := c.clients[address]
+	if client == nil {
+		client = &protorpc.Client{Address: address, Dialer: c.Dialer, Traffic: c.Traffic}
+		c.clients[address] = client
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	response := &wire.RenewResponse{}
+	if err := client.Call(ctx, "Control.Renew", request, response); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
--- /dev/null
+++ b/entry/internal/frame/frame.go
@@ -0,0 +1,147 @@
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// The types of frames that callers send.
+const (
+	Query     = 'Q'
+	Parse     = 'P'
+	Bind      = 'B'
+	Describe  = 'D'
+	Execute   = 'E'
+	Close     = 'C'
+	Sync      = 'S'
+	Flush     = 'H'
+	Terminate = 'X'
+	CopyData  = 'd'
+	CopyDone  = 'c'
+	CopyFail  = 'f'
+	Function  = 'F'
+	// Cancel is sent between entry VMs only and asks the owner to cancel what runs.
+	Cancel = 'k'
+)
+
+// The types of frames that servers send.
+const (
+	ParseComplete   = '1'
+	CloseComplete   = '3'
+	CommandComplete = 'C'
+	DataRow         = 'D'
+	ErrorResponse   = 'E'
+	ReadyForQuery   = 'Z'
+	ParameterStatus = 'S'
+	CopyInResponse  = 'G'
+)
+
+const (
+	headerBytes   = 5
+	maxBodyBytes  = 256 << 20
+	bufferBytes   = 4096
+	lengthAndType = 4
+)
+
+// Frame is one message: its type and its body without the length.
+type Frame struct {
+	Type byte
+	Body []byte
+}
+
+// Size returns the frame's size on the wire in bytes.
+func (f Frame) Size() int { return headerBytes + len(f.Body) }
+
+// Reader reads frames.
+type Reader struct {
+	buffer *bufio.Reader
+}
+
+// NewReader returns a Reader of r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{buffer: bufio.NewReaderSize(r, bufferBytes)}
+}
+
+// Next returns the next frame, whose body is its own.
+func (r *Reader) Next() (Frame, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r.buffer, header[:]); err != nil {
+		return Frame{}, err
+	}
+	length := binary.BigEndian.Uint32(header[1:])
+	if length < lengthAndType || length-lengthAndType > maxBodyBytes {
+		return Frame{}, fmt.Errorf("frame of type %q has length %d; at most %d is accepted", header[0], length, maxBodyBytes)
+	}
+	body, err := readBody(r.buffer, int(length-lengthAndType))
+	return Frame{Type: header[0], Body: body}, err
+}
+
+// readBody grows the body as it arrives, so that a length alone claims no memory.
+func readBody(r io.Reader, length int) ([]byte, error) {
+	if length <= bufferBytes {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(length)))
+	if err == nil && len(body) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// Buffered reports whether more bytes have already been read.
+func (r *Reader) Buffered() bool { return r.buffer.Buffered() > 0 }
+
+// Writer writes frames through a buffer.
+type Writer struct {
+	buffer *bufio.Writer
+}
+
+// NewWriter returns a Writer to w.
+func NewWriter(w io.Writer) *Writer {
+	return &Writer{buffer: bufio.NewWriterSize(w, bufferBytes)}
+}
+
+// Write adds one frame to the buffer.
+func (w *Writer) Write(f Frame) error {
+	var header [headerBytes]byte
+	header[0] = f.Type
+	binary.BigEndian.PutUint32(header[1:], uint32(len(f.Body)+lengthAndType))
+	if _, err := w.buffer.Write(header[:]); err != nil {
+		return err
+	}
+	_, err := w.buffer.Write(f.Body)
+	return err
+}
+
+// Flush sends what is buffered.
+func (w *Writer) Flush() error { return w.buffer.Flush() }
+
+type encoder interface {
+	Encode(dst []byte) ([]byte, error)
+}
+
+// Of encodes a pgproto3 message as a frame; it panics on a message that cannot be encoded,
+// which only a bug makes.
+func Of(message encoder) Frame {
+	data, err := message.Encode(nil)
+	if err != nil {
+		panic(fmt.Sprintf("frame: %T does not encode: %v", message, err))
+	}
+	return Frame{Type: data[0], Body: data[headerBytes:]}
+}
+
+// Error returns an ErrorResponse frame.
+func Error(severity, code, message, hint string) Frame {
+	return Of(&pgproto3.ErrorResponse{
+		Severity: severity, SeverityUnlocalized: severity, Code: code, Message: message, Hint: hint,
+	})
+}
+
+// Ready returns a ReadyForQuery frame with a transaction status.
+func Ready(status byte) Frame { return Frame{Type: ReadyForQuery, Body: []byte{status}} }
--- /dev/null
+++ b/entry/internal/metrics/metrics.go
@@ -0,0 +1,95 @@
+// Package metrics holds the counters of an entry VM.
+package metrics
+
+import (
+	"expvar"
+	"sync"
+	"time"
+)
+
+// Metrics are the counters of one entry VM; Publish makes them visible by expvar.
+type Metrics struct {
+	Callers          expvar.Int
+	Units            expvar.Int
+	ReadsEligible    expvar.Int
+	ReadsByReplica   expvar.Int
+	ReadsByPrimary   expvar.Int
+	ReadsAsWrites    expvar.Int
+	Proofs           expvar.Int
+	Polls            expvar.Int
+	WritesAcked      expvar.Int
+	Unknown          expvar.Int
+	NotRun           expvar.Map
+	Retries          expvar.Int
+	BackendConnects  expvar.Int
+	BackendDiscarded expvar.Int
+	FloorsKnown      expvar.Int
+	FloorsByToken    expvar.Int
+	FloorsConserved  expvar.Int
+	LinkStreams      expvar.Int
+	AnnounceAccepted expvar.Int
+	AnnounceRefused  expvar.Int
+
+	mu       sync.Mutex
+	services map[string]*Service
+	all      expvar.Map
+	byName   expvar.Map
+}
+
+// Service counts requests against a service's objective.
+type Service struct {
+	Good expvar.Int
+	Bad  expvar.Int
+}
+
+// Publish makes the counters visible under name, once a process.
+func (m *Metrics) Publish(name string) {
+	for key, value := range map[string]expvar.Var{
+		"callers": &m.Callers, "units": &m.Units,
+		"reads-eligible": &m.ReadsEligible, "reads-by-replica": &m.ReadsByReplica,
+		"reads-by-primary": &m.ReadsByPrimary, "reads-as-writes": &m.ReadsAsWrites,
+		"proofs": &m.Proofs, "polls": &m.Polls, "writes-acknowledged": &m.WritesAcked,
+		"unknown": &m.Unknown, "not-run": &m.NotRun, "retries": &m.Retries,
+		"backend-connects": &m.BackendConnects, "backend-discarded": &m.BackendDiscarded,
+		"floors-known": &m.FloorsKnown, "floors-by-token": &m.FloorsByToken,
+		"floors-conservative": &m.FloorsConserved, "link-streams": &m.LinkStreams,
+		"announcements-accepted": &m.AnnounceAccepted, "announcements-refused": &m.AnnounceRefused,
+		"services": &m.byName,
+	} {
+		m.all.Set(key, value)
+	}
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, &m.all)
+	}
+}
+
+// Var returns the counters as one variable.
+func (m *Metrics) Var() expvar.Var { return &m.all }
+
+// Request counts one request of a service: good when it was answered within the objective.
+func (m *Metrics) Request(service string, ok bool, took, objective time.Duration) {
+	s := m.service(service)
+	if ok && (objective == 0 || took <= objective) {
+		s.Good.Add(1)
+		return
+	}
+	s.Bad.Add(1)
+}
+
+func (m *Metrics) service(name string) *Service {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.services == nil {
+		m.services = map[string]*Service{}
+	}
+	s := m.services[name]
+	if s == nil {
+		s = &Service{}
+		m.services[name] = s
+		counts := new(expvar.Map)
+		counts.Set("good", &s.Good)
+		counts.Set("bad", &s.Bad)
+		m.byName.Set(name, counts)
+	}
+	return s
+}
--- /dev/null
+++ b/entry/internal/view/view.go
@@ -0,0 +1,221 @@
+package view
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"trefoilcourse/coord/config"
+	"trefoilcourse/coord/lease"
+	"trefoilcourse/wire"
+)
+
+// ConfirmWithin is how long an entry VM takes work by what the control leader last confirmed.
+const ConfirmWithin = 6 * time.Second
+
+// View is safe for concurrent use.
+type View struct {
+	mu       sync.Mutex
+	holder   lease.Holder
+	set      *config.Set
+	version  uint64
+	epoch    uint64
+	revision uint64
+	members  map[string]*wire.Member
+	groups   map[string]*wire.GroupState
+	changed  chan struct{}
+}
+
+// New returns a view that knows nothing.
+func New() *View {
+	return &View{
+		set: config.Empty(), members: map[string]*wire.Member{},
+		groups: map[string]*wire.GroupState{}, changed: make(chan struct{}),
+	}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *View) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Fill sets what a RenewRequest says of this view.
+func (v *View) Fill(r *wire.RenewRequest) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r.ConfigurationVersion = v.version
+	r.DirectoryEpoch = v.epoch
+	r.DirectoryRevision = v.revision
+}
+
+// Answered takes over the answer to a question asked at asked, and reports false for one of an
+// earlier leader than has been heard.
+func (v *View) Answered(asked time.Time, r *wire.RenewResponse) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	grants := map[string]lease.Grant{}
+	for _, g := range r.GetGrants() {
+		grants[g.GetGroup()] = lease.Grant{Term: g.GetTerm(), Connections: int(g.GetConnections())}
+	}
+	duration := time.Duration(r.GetLeaseMilliseconds()) * time.Millisecond
+	if !v.holder.Answered(asked, r.GetControlTerm(), duration, grants) {
+		return false
+	}
+	v.takeObjects(r)
+	v.takeDirectory(r)
+	v.notify()
+	return true
+}
+
+func (v *View) takeObjects(r *wire.RenewResponse) {
+	if r.GetConfigurationVersion() == v.version {
+		return
+	}
+	if r.GetConfigurationWhole() {
+		v.set = config.Empty()
+	}
+	for _, o := range r.GetObjects() {
+		key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
+		if o.GetDeleted() {
+			v.set.Delete(key)
+			continue
+		}
+		// Objects were checked before they were accepted.
+		_ = v.set.Put(key, o.GetBody())
+	}
+	v.version = r.GetConfigurationVersion()
+}
+
+func (v *View) takeDirectory(r *wire.RenewResponse) {
+	if r.GetDirectoryEpoch() == 0 {
+		return
+	}
+	if r.GetDirectoryWhole() {
+		clear(v.members)
+		clear(v.groups)
+	}
+	for _, m := range r.GetMembers() {
+		if m.GetGone() {
+			delete(v.members, m.GetVm())
+		} else {
+			v.members[m.GetVm()] = m
+		}
+	}
+	for _, g := range r.GetGroups() {
+		if g.GetGone() {
+			delete(v.groups, g.GetGroup())
+		} else {
+			v.groups[g.GetGroup()] = g
+		}
+	}
+	v.epoch = r.GetDirectoryEpoch()
+	v.revision = r.GetDirectoryRevision()
+}
+
+// Confirmed reports whether the configuration and the directory may be acted on at now.
+func (v *View) Confirmed(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.version > 0 && v.epoch > 0 && now.Sub(v.holder.Confirmed()) < ConfirmWithin
+}
+
+// Version returns the configuration version in force here.
+func (v *View) Version() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.version
+}
+
+// Group returns where a group is; nil means that it does not exist.
+func (v *View) Group(name string) *wire.GroupState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.groups[name]
+}
+
+// Configured returns a group's object and resolved read policy.
+func (v *View) Configured(name string) (config.DatabaseGroup, config.Reading, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	g, ok := v.set.Groups[name]
+	return g, v.set.ReadingOf(name), ok
+}
+
+// ServiceOf returns the service of a group and its objective, if it has one.
+func (v *View) ServiceOf(group string) (string, config.Objective, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	name := v.set.ServiceOf(group)
+	objective, ok := v.set.Objectives[v.set.Services[name].Objective]
+	return name, objective, ok
+}
+
+// Member returns an entry VM that is up, or nil.
+func (v *View) Member(vm string) *wire.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members[vm]
+}
+
+// Members returns the entry VMs that are up, by name.
+func (v *View) Members() []*wire.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	members := make([]*wire.Member, 0, len(v.members))
+	for _, vm := range slices.Sorted(maps.Keys(v.members)) {
+		members = append(members, v.members[vm])
+	}
+	return members
+}
+
+// AckTerm returns the term in which this VM may acknowledge writes of a group, or 0.
+func (v *View) AckTerm(now time.Time, group string) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.holder.Term(now, group)
+}
+
+// Connections returns how many connections of a group this VM may have open at now.
+func (v *View) Connections(now time.Time, group string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.holder.Connections(now, group)
+}
+
+// LeaseUntil returns when the lease on a group ends.
+func (v *View) LeaseUntil(group string) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.holder.Until(group)
+}
+
+// Held returns the groups with a lease at now, by name.
+func (v *View) Held(now time.Time) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	names := v.holder.Groups(now)
+	slices.Sort(names)
+	return names
+}
+
+// Release gives up acknowledging writes of a group in a term until Restore.
+func (v *View) Release(group string, term uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.holder.Release(group, term)
+}
+
+// Restore takes a release back for grants to come; one that was given before does not count.
+func (v *View) Restore(group string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.holder.Restore(group)
+}
--- /dev/null
+++ b/entry/link/link.go
@@ -0,0 +1,172 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+const (
+	heartbeatInterval = time.Second
+	writeTimeout      = time.Second
+	dialTimeout       = time.Second
+	maxOpenBytes      = 4096
+	windowBytes       = 256 << 10
+	acceptBacklog     = 1024
+)
+
+var errNoAddress = errors.New("the entry VM has no link address")
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = heartbeatInterval
+	c.ConnectionWriteTimeout = writeTimeout
+	c.MaxStreamWindowSize = windowBytes
+	c.AcceptBacklog = acceptBacklog
+	c.LogOutput = io.Discard
+	return c
+}
+
+// Pool keeps one connection to each entry VM that is spoken to; the zero value works.
+type Pool struct {
+	// Dialer opens connections; nil means plain TCP.
+	Dialer protorpc.Dialer
+
+	mu       sync.Mutex
+	sessions map[string]*slot
+}
+
+type slot struct {
+	mu      sync.Mutex
+	session *yamux.Session
+}
+
+// Open starts a unit of work at the entry VM that listens at address.
+func (p *Pool) Open(ctx context.Context, address string, open *wire.Open) (net.Conn, error) {
+	if address == "" {
+		return nil, errNoAddress
+	}
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("open a stream to %s: %w", address, err)
+	}
+	if _, err := protodelim.MarshalTo(stream, open); err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	return stream, nil
+}
+
+func (p *Pool) session(ctx context.Context, address string) (*yamux.Session, error) {
+	p.mu.Lock()
+	if p.sessions == nil {
+		p.sessions = map[string]*slot{}
+	}
+	s := p.sessions[address]
+	if s == nil {
+		s = &slot{}
+		p.sessions[address] = s
+	}
+	p.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.session != nil && !s.session.IsClosed() {
+		return s.session, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer protorpc.Dialer = &net.Dialer{}
+	if p.Dialer != nil {
+		dialer = p.Dialer
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s.session, err = yamux.Client(conn, muxConfig())
+	return s.session, err
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.sessions {
+		s.mu.Lock()
+		if s.session != nil {
+			_ = s.session.Close()
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Handler runs one unit of work; it owns the stream.
+type Handler func(ctx context.Context, open *wire.Open, stream net.Conn)
+
+// Serve accepts links until the listener is closed, and waits for their units to end.
+func Serve(ctx context.Context, listener net.Listener, handler Handler) error {
+	var open sync.WaitGroup
+	defer open.Wait()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		open.Go(func() { serveLink(ctx, conn, handler) })
+	}
+}
+
+func serveLink(ctx context.Context, conn net.Conn, handler Handler) {
+	session, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	var open sync.WaitGroup
+	defer open.Wait()
+	defer func() { _ = session.Close() }()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		open.Go(func() { serveStream(ctx, stream, handler) })
+	}
+}
+
+func serveStream(ctx context.Context, stream net.Conn, handler Handler) {
+	reader := bufio.NewReaderSize(stream, maxOpenBytes)
+	open := &wire.Open{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxOpenBytes}
+	if err := options.UnmarshalFrom(reader, open); err != nil {
+		_ = stream.Close()
+		return
+	}
+	handler(ctx, open, &bufferedConn{Conn: stream, reader: reader})
+}
+
+// bufferedConn reads what was read ahead first.
+type bufferedConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// Read reads from the buffer, then from the stream.
+func (b *bufferedConn) Read(p []byte) (int, error) { return b.reader.Read(p) }
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"trefoilcourse/entry/announce"
+	"trefoilcourse/entry/caller"
+	"trefoilcourse/entry/control"
+	"trefoilcourse/entry/internal/metrics"
+	"trefoilcourse/entry/internal/view"
+	"trefoilcourse/entry/link"
+	"trefoilcourse/entry/owner"
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+const (
+	drainPoll      = 20 * time.Millisecond
+	handOverPause  = 2 * control.RenewInterval
+	httpTimeout    = 5 * time.Second
+	healthPath     = "/healthz"
+	variablesPath  = "/debug/vars"
+	incarnationLen = 6
+)
+
+// Server is one entry VM; set the exported fields before Run.
+type Server struct {
+	// Settings are the VM's own.
+	Settings Settings
+	// CallerListener, LinkListener and HTTPListener accept connections; nil opens the
+	// addresses of Settings.
+	CallerListener net.Listener
+	LinkListener   net.Listener
+	HTTPListener   net.Listener
+	// ControlDialer, LinkDialer and BackendDialer open connections; nil means plain TCP.
+	ControlDialer protorpc.Dialer
+	LinkDialer    protorpc.Dialer
+	BackendDialer protorpc.Dialer
+	// Log receives changes of state; nil means the standard logger.
+	Log logrus.FieldLogger
+
+	metrics  metrics.Metrics
+	traffic  protorpc.Traffic
+	view     *view.View
+	client   *control.Client
+	owner    *owner.Owner
+	callers  *caller.Server
+	links    *link.Pool
+	draining atomic.Bool
+	ended    chan error
+	started  int
+}
+
+// Metrics returns the counters as one expvar variable.
+func (s *Server) Metrics() expvar.Var { return s.metrics.Var() }
+
+// ControlTraffic returns the bytes exchanged with control VMs.
+func (s *Server) ControlTraffic() *protorpc.Traffic { return &s.traffic }
+
+// Run serves until ctx ends and everything under way is finished, or a listener fails.
+func (s *Server) Run(ctx context.Context) error {
+	if err := s.Settings.Check(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := s.listen(); err != nil {
+		return trace.Wrap(err)
+	}
+	s.build()
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	s.ended = make(chan error, 5)
+	s.launch(func() error { return s.owner.Run(work) })
+	s.launch(func() error { return s.client.Run(work) })
+	s.launch(func() error { return link.Serve(work, s.LinkListener, s.handle) })
+	s.launch(func() error { return s.callers.Run(work, s.CallerListener) })
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: httpTimeout}
+	s.launch(func() error { return server.Serve(s.HTTPListener) })
+	var err error
+	select {
+	case <-ctx.Done():
+		s.drain(server)
+	case err = <-s.ended:
+		s.started--
+	}
+	cancel()
+	s.closeAll(server)
+	for range s.started {
+		<-s.ended
+	}
+	s.links.Close()
+	return trace.Wrap(err)
+}
+
+func (s *Server) launch(f func() error) {
+	s.started++
+	go func() { s.ended <- f() }()
+}
+
+func (s *Server) listen() error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&s.CallerListener, s.Settings.Callers}, {&s.LinkListener, s.Settings.Links}, {&s.HTTPListener, s.Settings.HTTP}} {
+		if *l.listener != nil {
+			continue
+		}
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return err
+		}
+		*l.listener = opened
+	}
+	return nil
+}
+
+func (s *Server) build() {
+	if s.Log == nil {
+		s.Log = logrus.StandardLogger()
+	}
+	log := s.Log.WithField("vm", s.Settings.VM)
+	s.metrics.Publish("trefoil-entry-" + s.Settings.VM)
+	s.view = view.New()
+	s.links = &link.Pool{Dialer: s.LinkDialer}
+	s.client = &control.Client{
+		VM: s.Settings.VM, Incarnation: newIncarnation(), FailureDomain: s.Settings.FailureDomain,
+		LinkAddress: s.linkAddress(), Addresses: s.Settings.Control, Dialer: s.ControlDialer,
+		View: s.view, Traffic: &s.traffic,
+	}
+	s.client.Prepare()
+	s.owner = &owner.Owner{
+		VM: s.Settings.VM, FailureDomain: s.Settings.FailureDomain, View: s.view,
+		Dialer: orPlain(s.BackendDialer), Poke: s.client.Poke, Metrics: &s.metrics, Log: log,
+	}
+	s.client.Reporter = s.owner
+	s.callers = &caller.Server{
+		VM: s.Settings.VM, FailureDomain: s.Settings.FailureDomain, View: s.view,
+		Links: s.links, Metrics: &s.metrics, Log: log,
+	}
+}
+
+func orPlain(d protorpc.Dialer) protorpc.Dialer {
+	if d == nil {
+		return &net.Dialer{}
+	}
+	return d
+}
+
+func (s *Server) linkAddress() string {
+	if s.Settings.Advertise != "" {
+		return s.Settings.Advertise
+	}
+	return s.LinkListener.Addr().String()
+}
+
+func newIncarnation() string {
+	id := make([]byte, incarnationLen)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
+// handle runs what another entry VM sends: a unit of work or a cancel request.
+func (s *Server) handle(ctx context.Context, open *wire.Open, stream net.Conn) {
+	if key := open.GetCancelKey(); key != 0 {
+		s.callers.Cancel(key)
+		_ = stream.Close()
+		return
+	}
+	s.owner.Serve(ctx, open, stream)
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(announce.Path, &announce.Handler{View: s.view, Sink: s.client, Metrics: &s.metrics})
+	mux.HandleFunc(healthPath, s.health)
+	mux.Handle(variablesPath, expvar.Handler())
+	return mux
+}
+
+// health tells the balancer whether this VM takes callers.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case s.draining.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !s.view.Confirmed(time.Now()):
+		http.Error(w, "configuration unconfirmed", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ok\n"))
+	}
+}
+
+// drain lets everything under way finish: first the balancer is told, then callers with nothing
+// under way, then the control leader gives this VM's groups to others.
+func (s *Server) drain(server *http.Server) {
+	s.draining.Store(true)
+	s.Log.WithField("vm", s.Settings.VM).Info("drains")
+	s.client.SetDraining()
+	time.Sleep(s.Settings.drainDelay())
+	_ = s.CallerListener.Close()
+	s.callers.Drain()
+	for s.callers.Callers() > 0 || s.owner.Running() > 0 {
+		time.Sleep(drainPoll)
+	}
+	for deadline := time.Now().Add(handOverPause); time.Now().Before(deadline) && len(s.view.Held(time.Now())) > 0; {
+		time.Sleep(drainPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), httpTimeout)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+}
+
+func (s *Server) closeAll(server *http.Server) {
+	_ = s.CallerListener.Close()
+	_ = s.LinkListener.Close()
+	if err := server.Close(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.Log.WithError(err).Debug("closing the HTTP server")
+	}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"trefoilcourse/coord/settings"
+)
+
+// Settings is what an entry VM reads from its settings file.
+type Settings struct {
+	VM            string   `json:"vm"`
+	FailureDomain string   `json:"failure-domain"`
+	Callers       string   `json:"callers"`
+	Links         string   `json:"links"`
+	HTTP          string   `json:"http"`
+	Advertise     string   `json:"advertise,omitempty"`
+	Control       []string `json:"control"`
+	// DrainMilliseconds is how long the health answer is bad before callers are sent away.
+	DrainMilliseconds int `json:"drain-milliseconds,omitempty"`
+}
+
+const maxDrainMilliseconds = 600_000
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	var s Settings
+	if err := settings.Load(path, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, s.Check()
+}
+
+// Check returns an error for the first setting that cannot work.
+func (s Settings) Check() error {
+	switch {
+	case s.VM == "":
+		return fmt.Errorf("vm is empty; give this entry VM a name")
+	case s.FailureDomain == "":
+		return fmt.Errorf("failure-domain is empty; name the failure domain of this VM")
+	case len(s.Control) == 0:
+		return fmt.Errorf("control lists no address; list the control VMs")
+	case s.DrainMilliseconds < 0 || s.DrainMilliseconds > maxDrainMilliseconds:
+		return fmt.Errorf("drain-milliseconds is %d; use a number from 0 to %d", s.DrainMilliseconds, maxDrainMilliseconds)
+	}
+	for _, address := range append([]string{s.Callers, s.Links, s.HTTP}, s.Control...) {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return fmt.Errorf("address %q: %w", address, err)
+		}
+	}
+	return nil
+}
+
+func (s Settings) drainDelay() time.Duration {
+	return time.Duration(s.DrainMilliseconds) * time.Millisecond
+}
--- /dev/null
+++ b/trefoil/internal/control/doc.go
@@ -0,0 +1,2 @@
+// Package control speaks to the control VMs for operators.
+package control
--- /dev/null
+++ b/wire/lsn/lsn.go
@@ -0,0 +1,31 @@
+package lsn
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const halfBits = 32
+
+// Parse returns the offset in bytes that text stands for.
+func Parse(text string) (uint64, error) {
+	high, low, ok := strings.Cut(text, "/")
+	if !ok {
+		return 0, fmt.Errorf("log position %q has no slash", text)
+	}
+	h, err := strconv.ParseUint(high, 16, halfBits)
+	if err != nil {
+		return 0, fmt.Errorf("log position %q: %w", text, err)
+	}
+	l, err := strconv.ParseUint(low, 16, halfBits)
+	if err != nil {
+		return 0, fmt.Errorf("log position %q: %w", text, err)
+	}
+	return h<<halfBits | l, nil
+}
+
+// Format returns the text form of an offset in bytes.
+func Format(offset uint64) string {
+	return fmt.Sprintf("%X/%X", offset>>halfBits, uint32(offset))
+}
--- /dev/null
+++ b/wire/protorpc/client.go
@@ -0,0 +1,95 @@
+package protorpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Dialer opens a connection; net.Dialer and tls.Dialer implement it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Client calls one process and dials again after a connection has failed or timed out.
+type Client struct {
+	// Address is the peer's host and port.
+	Address string
+	// Dialer opens connections; nil means a plain TCP dialer.
+	Dialer Dialer
+	// Traffic counts bytes; nil counts nothing.
+	Traffic *Traffic
+
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// Call makes one call and gives up, closing the connection, when ctx ends.
+func (c *Client) Call(ctx context.Context, method string, request, response proto.Message) error {
+	client, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	call := client.Go(method, request, response, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if isConnectionError(call.Error) {
+			c.drop(client)
+		}
+		return call.Error
+	case <-ctx.Done():
+		c.drop(client)
+		return fmt.Errorf("call %s at %s: %w", method, c.Address, ctx.Err())
+	}
+}
+
+// Close ends the connection; calls under way fail.
+func (c *Client) Close() {
+	c.mu.Lock()
+	client := c.client
+	c.client = nil
+	c.mu.Unlock()
+	if client != nil {
+		_ = client.Close()
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.client != nil {
+		return c.client, nil
+	}
+	var dialer Dialer = &net.Dialer{}
+	if c.Dialer != nil {
+		dialer = c.Dialer
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return nil, err
+	}
+	c.client = rpc.NewClientWithCodec(NewClientCodec(conn, c.Traffic))
+	return c.client, nil
+}
+
+func (c *Client) drop(client *rpc.Client) {
+	c.mu.Lock()
+	if c.client == client {
+		c.client = nil
+	}
+	c.mu.Unlock()
+	_ = client.Close()
+}
+
+func isConnectionError(err error) bool {
+	if err == nil {
+		return false
+	}
+	var serverError rpc.ServerError
+	return !errors.As(err, &serverError)
+}
