--- a/control/server.go
+++ b/control/server.go
@@ -33,6 +33,8 @@
 	Listener net.Listener
 	// Dialer reaches control VMs and backend servers; nil means plain TCP.
 	Dialer protorpc.Dialer
+	// Owners is the number of entry VMs that own a group; 0 means leader.DefaultOwners.
+	Owners int
 	// Log receives changes of state; nil means the standard logger.
 	Log logrus.FieldLogger
 
@@ -96,7 +98,7 @@
 	}
 	s.formed = !empty
 	s.machine = state.New()
-	s.leader = &leader.Leader{State: s.machine}
+	s.leader = &leader.Leader{State: s.machine, Owners: s.Owners}
 	s.peers = map[string]*peer{}
 	s.waiting = map[string]chan *wire.PublishResult{}
 	s.commanded = map[string]uint64{}
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// OwnersPerGroup is the number of entry VMs that hold a group's connections.
-	OwnersPerGroup = 3
-	memberLife     = 2500 * time.Millisecond
-	serverLife     = 5 * time.Second
+	// DefaultOwners is the number of entry VMs that hold a group's connections.
+	DefaultOwners = 3
+	memberLife    = 2500 * time.Millisecond
+	serverLife    = 5 * time.Second
 	// controlConnections is how many connections to each server the control leader may open.
 	controlConnections = 1
 	// joinDelay keeps a VM that comes and goes from being given groups each time.
@@ -37,6 +37,8 @@
 	State *state.Machine
 	// Lease is how long a lease lasts; 0 means lease.DefaultDuration.
 	Lease time.Duration
+	// Owners is the number of entry VMs that own a group; 0 means DefaultOwners.
+	Owners int
 
 	term    uint64
 	started time.Time
@@ -74,6 +76,9 @@
 
 // Lead starts a leadership of a control term.
 func (l *Leader) Lead(now time.Time, term uint64) {
+	if l.Owners == 0 {
+		l.Owners = DefaultOwners
+	}
 	l.term = term
 	l.started = now
 	l.table = lease.Table{Duration: l.Lease}
@@ -201,7 +206,7 @@
 	g.servers[a.GetSlot()] = &server{announcement: a, heard: now}
 	g.machine.Announce(promote.Status{
 		Slot: a.GetSlot(), Incarnation: a.GetIncarnation(), Primary: a.GetPrimary(), Term: a.GetTerm(),
-		Position: session.FromWire(a.GetPosition()), Asked: now,
+		Position: session.FromWire(a.GetPosition()), Leaving: a.GetLeaving(), Asked: now,
 	})
 }
 
@@ -303,7 +308,7 @@
 		m.owned = nil
 	}
 	for name, g := range l.groups {
-		g.owners = place.Owners(name, able, OwnersPerGroup)
+		g.owners = place.Owners(name, able, l.Owners)
 		domains := map[string]string{}
 		for _, vm := range g.owners {
 			l.members[vm].owned = append(l.members[vm].owned, name)
@@ -329,7 +334,9 @@
 func (l *Leader) publish(now time.Time, name string, g *group) {
 	primary := g.machine.Primary()
 	limit := l.set.Groups[name].Connections - len(g.machine.Slots)*controlConnections
-	l.table.Set(name, lease.Group{Term: g.machine.AckTerm(), Limit: limit, Owners: g.owners})
+	l.table.Set(name, lease.Group{
+		Term: g.machine.AckTerm(), Closing: g.machine.Closing(), Limit: limit, Owners: g.owners,
+	})
 	entry := &wire.GroupState{Group: name, Term: primary.Term, PrimarySlot: primary.Slot, Owners: g.owners}
 	for _, slot := range g.machine.Slots {
 		s := g.servers[slot]
--- a/coord/lease/table.go
+++ b/coord/lease/table.go
@@ -20,6 +20,8 @@
 type Group struct {
 	// Term is the term in which writes may be acknowledged; 0 while a primary is changed.
 	Term uint64
+	// Closing grants the term only to those who hold it and finish what they began.
+	Closing bool
 	// Limit is the number of connections that all holders together may have open.
 	Limit int
 	// Owners are the entry VMs that shall hold the group.
@@ -131,7 +133,10 @@
 	if e.group.Term == 0 {
 		return false
 	}
-	return slices.Contains(e.group.Owners, vm) || held.Term == e.group.Term
+	if held.Term == e.group.Term {
+		return true
+	}
+	return !e.group.Closing && slices.Contains(e.group.Owners, vm)
 }
 
 // holder finds or makes the record of vm; nil means that it may hold nothing.
--- a/coord/promote/choose.go
+++ b/coord/promote/choose.go
@@ -43,7 +43,7 @@
 	if len(answers) < len(g.Slots) && now.Sub(g.since) < chooseGrace {
 		return g.query(now)
 	}
-	best, ok := g.best(answers)
+	best, ok := g.best(g.withoutOld(answers, needed))
 	if !ok {
 		g.note = fmt.Sprintf("slot %q, which an operator chose, does not hold every acknowledged write", g.forced)
 		return g.query(now)
@@ -58,6 +58,21 @@
 	return []Action{{Record: &next}}
 }
 
+// withoutOld leaves the old primary out if the others are a majority by themselves: they hold
+// every acknowledged write, and the old primary may be cut off from them.
+func (g *Group) withoutOld(answers []Status, needed int) []Status {
+	var others []Status
+	for _, s := range answers {
+		if s.Slot != g.primary.Slot {
+			others = append(others, s)
+		}
+	}
+	if len(others) >= needed && g.forced != g.primary.Slot {
+		return others
+	}
+	return answers
+}
+
 func (g *Group) answersSince(at time.Time) []Status {
 	var answers []Status
 	for _, slot := range g.Slots {
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -18,6 +18,7 @@
 const (
 	Steady   = "steady"
 	Checking = "checking"
+	Closing  = "closing"
 	Fencing  = "fencing"
 	Choosing = "choosing"
 	Ordering = "ordering"
@@ -28,9 +29,13 @@
 	checkTimeout    = 500 * time.Millisecond
 	chooseGrace     = 100 * time.Millisecond
 	queryInterval   = 250 * time.Millisecond
-	orderTimeout    = 1500 * time.Millisecond
-	vetoLife        = 2 * time.Second
-	vetoLimit       = 3
+	// announcementLife is how old an announcement may be to count as a sign of life.
+	announcementLife = 3 * time.Second
+	orderTimeout     = 1500 * time.Millisecond
+	vetoLife         = 2 * time.Second
+	vetoLimit        = 3
+	// closingLimit is how long requests under way may keep a leaving primary in place.
+	closingLimit = 30 * time.Second
 )
 
 // Health is an owner's finding about a primary.
@@ -63,7 +68,9 @@
 	Position session.Position
 	// Followed reports that a majority of slots receives what the server writes, as primary.
 	Followed bool
-	Asked    time.Time
+	// Leaving reports that the server is about to stop; only announcements say so.
+	Leaving bool
+	Asked   time.Time
 }
 
 // Primary is the recorded primary of a term and the incarnations that count in its group.
@@ -130,12 +137,15 @@
 // AckTerm returns the term in which owners may acknowledge writes, or 0 while that may change.
 func (g *Group) AckTerm() uint64 {
 	switch g.State() {
-	case Steady, Checking, Ordering:
+	case Steady, Checking, Closing, Ordering:
 		return g.primary.Term
 	}
 	return 0
 }
 
+// Closing reports whether owners may only finish what they began on the primary.
+func (g *Group) Closing() bool { return g.State() == Closing }
+
 // SetOwners says which VMs own the group and in which failure domains they are.
 func (g *Group) SetOwners(domains map[string]string) { g.owners = domains }
 
@@ -222,6 +232,8 @@
 		return g.tickSteady(now)
 	case Checking:
 		return g.tickChecking(now)
+	case Closing:
+		return g.tickClosing(now, fenced)
 	case Fencing:
 		g.note = "waiting until no owner can acknowledge writes of the old term"
 		if fenced {
@@ -250,11 +262,45 @@
 	if g.primary.Term == 0 {
 		return g.tickFirst(now)
 	}
-	if !g.suspected(now) || now.Before(g.vetoUntil) {
-		return g.repair(now)
+	if g.suspected(now) && !now.Before(g.vetoUntil) {
+		g.step(now, "suspected")
+		return g.query(now)
+	}
+	if g.primaryLeaves(now) {
+		g.step(now, "leaving")
+		return nil
 	}
-	g.step(now, "suspected")
-	return g.query(now)
+	return g.repair(now)
+}
+
+// primaryLeaves reports whether the primary has announced that it leaves and a majority of the
+// slots, without it, is there to go on.
+func (g *Group) primaryLeaves(now time.Time) bool {
+	if !g.announced[g.primary.Slot].Leaving {
+		return false
+	}
+	staying := 0
+	for slot, a := range g.announced {
+		fresh := now.Sub(a.Asked) < announcementLife
+		if slot != g.primary.Slot && fresh && !a.Leaving && g.counts(a) && a.Term == g.primary.Term {
+			staying++
+		}
+	}
+	return staying > len(g.Slots)/2
+}
+
+// tickClosing waits until the owners have finished what they began on a leaving primary.
+func (g *Group) tickClosing(now time.Time, fenced bool) []Action {
+	g.note = "the primary leaves; owners finish what they began on it"
+	if g.suspected(now) || now.Sub(g.since) >= closingLimit {
+		g.step(now, "confirmed")
+		return nil
+	}
+	if fenced {
+		g.step(now, "fenced")
+		return g.query(now)
+	}
+	return nil
 }
 
 // suspected reports whether a majority of the owners, from two failure domains if they span
--- a/entry/owner/group.go
+++ b/entry/owner/group.go
@@ -38,6 +38,10 @@
 	running  int
 	budget   retry.Budget
 	capacity int
+	// onPrimary counts units of work on the primary; closing lets no more begin there.
+	onPrimary  int
+	closing    bool
+	handedOver bool
 
 	sightings route.Sightings
 	replicas  map[string]*replica
@@ -101,6 +105,7 @@
 		return true
 	}
 	g.resize(allowed)
+	g.handOver()
 	if allowed > 0 {
 		return false
 	}
--- a/entry/owner/keyed.go
+++ b/entry/owner/keyed.go
@@ -21,7 +21,7 @@
 	key := u.open.GetRequestKey()
 	first, err := u.claimKey(conn, key)
 	if err != nil {
-		u.group.pool.put(conn, false)
+		u.group.putPrimary(conn, false)
 		u.refuse(outcome.NotRun(outcome.ServerLost, "the request key could not be recorded: "+err.Error(), "Create the table "+KeyTable+" or send it again."))
 		return
 	}
@@ -30,11 +30,11 @@
 		return
 	}
 	if err := u.attach(conn); err != nil {
-		u.group.pool.put(conn, false)
+		u.group.putPrimary(conn, false)
 		u.refuse(u.lost())
 		return
 	}
-	u.group.pool.put(conn, u.relayKeyed(conn, key))
+	u.group.putPrimary(conn, u.relayKeyed(conn, key))
 }
 
 // claimKey begins a transaction and records the key; first is false when it was recorded before.
@@ -56,12 +56,12 @@
 		_, err = conn.Ask("ROLLBACK", u.deadline)
 	}
 	if err != nil || len(rows) == 0 {
-		u.group.pool.put(conn, false)
+		u.group.putPrimary(conn, false)
 		u.refuse(outcome.MayHaveRun("its request key is recorded, but the first outcome could not be read"))
 		return
 	}
 	position, refusal := u.acknowledge(conn)
-	u.group.pool.put(conn, true)
+	u.group.putPrimary(conn, true)
 	if refusal != nil {
 		u.refuse(refusal)
 		return
--- a/entry/owner/read.go
+++ b/entry/owner/read.go
@@ -142,7 +142,9 @@
 		u.group.pool.put(conn, errors.Is(err, errBehind))
 		return err
 	}
-	return u.readOn(conn, func() error { return nil })
+	clean, err := u.readOn(conn, func() error { return nil })
+	u.group.pool.put(conn, clean)
+	return err
 }
 
 // catchUp waits, within limits, until the replica has shown the floor.
@@ -176,7 +178,8 @@
 			u.refuse(refusal)
 			return
 		}
-		err := u.readOn(conn, func() error { return u.stillLeads(conn) })
+		clean, err := u.readOn(conn, func() error { return u.stillLeads(conn) })
+		u.group.putPrimary(conn, clean)
 		switch {
 		case errors.Is(err, errAnswered):
 			u.group.owner.Metrics.ReadsByPrimary.Add(1)
@@ -204,21 +207,18 @@
 // readOn runs the unit on a connection and returns errAnswered when the caller has its answer,
 // errWrites when the server refused since it writes, and another error when it may be run
 // elsewhere, if it is repeatable.
-func (u *unit) readOn(conn *backend.Conn, permitted func() error) error {
+func (u *unit) readOn(conn *backend.Conn, permitted func() error) (clean bool, err error) {
 	if err := conn.SetReadOnly(true, time.Now().Add(proveTimeout)); err != nil {
-		u.group.pool.put(conn, false)
-		return err
+		return false, err
 	}
 	if err := u.attach(conn); err != nil {
-		u.group.pool.put(conn, false)
-		return err
+		return false, err
 	}
-	clean, err := u.relayRead(conn, permitted)
-	u.group.pool.put(conn, clean)
+	clean, err = u.relayRead(conn, permitted)
 	if !errors.Is(err, errAnswered) {
 		u.detach()
 	}
-	return err
+	return clean, err
 }
 
 // relayRead passes the answer on, the first part only when it cannot have to be taken back.
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -31,8 +31,11 @@
 	}
 }
 
-var errNoPrimary = errors.New("no primary is known")
-var errNoLease = errors.New("no lease for the primary's term")
+var (
+	errNoPrimary = errors.New("no primary is known")
+	errNoLease   = errors.New("no lease for the primary's term")
+	errLeaving   = errors.New("the primary leaves and another is about to follow it")
+)
 
 func (g *group) tryPrimary(ctx context.Context) (*backend.Conn, error) {
 	state := g.owner.View.Group(g.name)
@@ -40,20 +43,63 @@
 	if server == nil {
 		return nil, errNoPrimary
 	}
-	if g.owner.View.AckTerm(time.Now(), g.name) != state.GetTerm() {
-		return nil, errNoLease
+	if err := g.enterPrimary(state.GetTerm()); err != nil {
+		return nil, err
 	}
 	conn, err := g.pool.get(ctx, server.GetSlot(), server.GetAddress(), state.GetTerm())
 	if err != nil {
+		g.leavePrimary()
 		return nil, err
 	}
 	if !conn.Primary() {
-		g.pool.put(conn, false)
+		g.putPrimary(conn, false)
 		return nil, errNoPrimary
 	}
 	return conn, nil
 }
 
+// enterPrimary counts a unit of work on the primary, unless none may begin there.
+func (g *group) enterPrimary(term uint64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closing {
+		return errLeaving
+	}
+	if g.owner.View.AckTerm(time.Now(), g.name) != term {
+		return errNoLease
+	}
+	g.onPrimary++
+	return nil
+}
+
+func (g *group) leavePrimary() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onPrimary--
+}
+
+// putPrimary gives a connection back that acquirePrimary returned.
+func (g *group) putPrimary(conn *backend.Conn, clean bool) {
+	g.pool.put(conn, clean)
+	g.leavePrimary()
+}
+
+// handOver gives up the term of a leaving primary once nothing runs on it any more.
+func (g *group) handOver() {
+	state := g.owner.View.Group(g.name)
+	leaving := serverOf(state, state.GetPrimarySlot()).GetLeaving()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closing = leaving
+	if leaving && g.onPrimary == 0 {
+		g.owner.View.Release(g.name, state.GetTerm())
+	}
+	if !leaving && g.handedOver {
+		g.owner.View.Restore(g.name)
+	}
+	g.handedOver = leaving && g.onPrimary == 0
+}
+
 // runWrite runs a unit that may write on the primary.
 func (u *unit) runWrite(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, u.deadline)
@@ -64,7 +110,7 @@
 		return
 	}
 	if err := conn.SetReadOnly(false, u.deadline); err != nil {
-		u.group.pool.put(conn, false)
+		u.group.putPrimary(conn, false)
 		u.refuse(outcome.NotRun(outcome.ServerLost, "the backend server was lost before the request was sent", "Send it again."))
 		return
 	}
@@ -77,12 +123,12 @@
 
 func (u *unit) runOn(conn *backend.Conn) {
 	if err := u.attach(conn); err != nil {
-		u.group.pool.put(conn, false)
+		u.group.putPrimary(conn, false)
 		u.refuse(u.lost())
 		return
 	}
 	clean := u.relayWrite(conn)
-	u.group.pool.put(conn, clean)
+	u.group.putPrimary(conn, clean)
 }
 
 // relayWrite passes the server's answers on, holding back whatever tells of a commit until it
--- a/entry/server.go
+++ b/entry/server.go
@@ -65,18 +65,43 @@
 // Metrics returns the counters as one expvar variable.
 func (s *Server) Metrics() expvar.Var { return s.metrics.Var() }
 
+// ConfigurationVersion returns the version in force on this VM, 0 before the first.
+func (s *Server) ConfigurationVersion() uint64 {
+	if s.view == nil {
+		return 0
+	}
+	return s.view.Version()
+}
+
+// Reads returns how many reads the policies allowed on replicas, and how many ran there.
+func (s *Server) Reads() (eligible, byReplica int64) {
+	return s.metrics.ReadsEligible.Value(), s.metrics.ReadsByReplica.Value()
+}
+
 // ControlTraffic returns the bytes exchanged with control VMs.
 func (s *Server) ControlTraffic() *protorpc.Traffic { return &s.traffic }
 
+// Prepare opens the listeners, so that the accessors may be used before Run, which calls it if
+// nobody has.
+func (s *Server) Prepare() error {
+	if s.view != nil {
+		return nil
+	}
+	if err := s.listen(); err != nil {
+		return err
+	}
+	s.build()
+	return nil
+}
+
 // Run serves until ctx ends and everything under way is finished, or a listener fails.
 func (s *Server) Run(ctx context.Context) error {
 	if err := s.Settings.Check(); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := s.listen(); err != nil {
+	if err := s.Prepare(); err != nil {
 		return trace.Wrap(err)
 	}
-	s.build()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	s.ended = make(chan error, 5)
--- a/standin/log.go
+++ b/standin/log.go
@@ -9,12 +9,14 @@
 type Commit struct {
 	Slot string
 	Term uint64
-	// IDs are the row ids written by the transaction, and Session what ran it.
-	IDs     []string
-	Session uint64
-	At      time.Time
+	// Writes are the rows written, in order.
+	Writes []Write
+	At     time.Time
 }
 
+// Write is one row written.
+type Write struct{ ID, Body string }
+
 // Log records what the servers of a group ran; it is safe for concurrent use.
 type Log struct {
 	mu          sync.Mutex
--- a/standin/server.go
+++ b/standin/server.go
@@ -355,3 +355,16 @@
 	case <-timer.C:
 	}
 }
+
+// Writes counts how often each row was written in the server's history.
+func (s *Server) Writes() map[Write]int {
+	s.history.mu.Lock()
+	defer s.history.mu.Unlock()
+	counts := map[Write]int{}
+	for _, r := range s.history.log {
+		for _, w := range r.writes {
+			counts[Write{w.id, w.body}]++
+		}
+	}
+	return counts
+}
--- a/standin/session.go
+++ b/standin/session.go
@@ -30,8 +30,10 @@
 	inTransaction bool
 	failed        bool
 	readOnly      bool
-	writes        []write
-	keys          []string
+	// defaultReadOnly is default_transaction_read_only.
+	defaultReadOnly bool
+	writes          []write
+	keys            []string
 }
 
 type portal struct {
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -23,6 +23,8 @@
 	updatePattern    = regexp.MustCompile(`(?is)^UPDATE ledger SET body = (.+) WHERE id = (.+)$`)
 	selectPattern    = regexp.MustCompile(`(?is)^SELECT body FROM ledger WHERE id = (.+)$`)
 	keyPattern       = regexp.MustCompile(`(?is)^INSERT INTO trefoil_request_keys \(key\) VALUES \((.+)\) ON CONFLICT DO NOTHING$`)
+	outcomePattern   = regexp.MustCompile(`(?is)^UPDATE trefoil_request_keys SET outcome = '(.*)' WHERE key = '(.+)'$`)
+	firstPattern     = regexp.MustCompile(`(?is)^SELECT outcome FROM trefoil_request_keys WHERE key = '(.+)'$`)
 	sleepPattern     = regexp.MustCompile(`(?is)^SELECT pg_sleep\(([0-9.]+)\)$`)
 	promotePattern   = regexp.MustCompile(`(?is)^SELECT trefoil_promote\((\d+)\)$`)
 	followPattern    = regexp.MustCompile(`(?is)^SELECT trefoil_follow\((\d+), '([^']+)'\)$`)
@@ -150,6 +152,9 @@
 	case upper == "ROLLBACK":
 		c.end(false)
 		c.complete("ROLLBACK")
+	case strings.HasPrefix(upper, "SET DEFAULT_TRANSACTION_READ_ONLY TO "):
+		c.defaultReadOnly = strings.HasSuffix(upper, " ON")
+		c.complete("SET")
 	case strings.HasPrefix(upper, "SET ") || upper == "DISCARD ALL":
 		c.complete("SET")
 	default:
@@ -160,7 +165,7 @@
 
 // end ends a transaction and reports whether its writes, if any, were committed as asked.
 func (c *session) end(commit bool) bool {
-	writes := c.writes
+	writes, keys := c.writes, c.keys
 	c.inTransaction, c.failed, c.readOnly, c.writes, c.keys = false, false, false, nil, nil
 	if !commit || len(writes) == 0 {
 		return true
@@ -171,11 +176,16 @@
 	if !h.primary {
 		return false
 	}
+	for _, key := range keys {
+		if _, taken := h.rows[key]; taken {
+			return false
+		}
+	}
 	h.append(record{term: h.term, writes: writes})
-	commitRecord := Commit{Slot: c.server.slot.Name, Term: h.term, Session: c.id, At: time.Now()}
+	commitRecord := Commit{Slot: c.server.slot.Name, Term: h.term, At: time.Now()}
 	for _, w := range writes {
 		if !strings.HasPrefix(w.id, keyPrefix) {
-			commitRecord.IDs = append(commitRecord.IDs, w.id)
+			commitRecord.Writes = append(commitRecord.Writes, Write{w.id, w.body})
 		}
 	}
 	c.server.group.log.committed(commitRecord)
@@ -287,7 +297,17 @@
 			c.complete("INSERT 0 0")
 			return true
 		}
+		c.keys = append(c.keys, key)
 		return c.write(key, "", true, "INSERT 0 1")
+	case outcomePattern.MatchString(query):
+		m := outcomePattern.FindStringSubmatch(query)
+		return c.write(keyPrefix+m[2], m[1], false, "UPDATE 1")
+	case firstPattern.MatchString(query):
+		var rows [][]string
+		if outcome := c.lookup(keyPrefix + firstPattern.FindStringSubmatch(query)[1]); outcome != nil {
+			rows = append(rows, []string{*outcome})
+		}
+		return c.rows(describe, textFields("outcome"), rows)
 	case updatePattern.MatchString(query):
 		m := updatePattern.FindStringSubmatch(query)
 		id := value(m[2], args)
@@ -350,7 +370,7 @@
 }
 
 func (c *session) write(id, body string, fresh bool, tag string) bool {
-	if _, primary := c.server.Role(); !primary || c.readOnly {
+	if _, primary := c.server.Role(); !primary || c.readOnly || c.defaultReadOnly {
 		return c.fail("25006", "cannot execute a write in a read-only transaction")
 	}
 	if fresh && c.lookup(id) != nil {
--- a/trefoil/internal/rig/network.go
+++ b/trefoil/internal/rig/network.go
@@ -60,7 +60,8 @@
 	return from != to && (n.cut[from] || n.cut[to])
 }
 
-func (n *Network) placeOf(address string) string {
+// PlaceOf returns the place of the process that listens at address.
+func (n *Network) PlaceOf(address string) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.places[address]
@@ -75,7 +76,7 @@
 // DialContext opens a connection that is delayed and cut as the network says.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	n := d.Network
-	to := n.placeOf(address)
+	to := n.PlaceOf(address)
 	if n.isCut(d.From, to) {
 		<-ctx.Done()
 		return nil, fmt.Errorf("dial %s: %w", address, ctx.Err())
--- a/trefoil/internal/rig/rig.go
+++ b/trefoil/internal/rig/rig.go
@@ -34,6 +34,8 @@
 	Groups []*standin.Group
 	// Delay returns the one-way delay between two failure domains; nil means none.
 	Delay func(from, to string) time.Duration
+	// Owners is the number of entry VMs that own a group; 0 means the daemon's own choice.
+	Owners int
 	// Folder holds the control VMs' data folders.
 	Folder string
 	// Log receives the daemons' lines; nil discards them.
@@ -180,7 +182,7 @@
 			VM: name, FailureDomain: r.domain(i), Listen: r.addrs[name],
 			DataFolder: r.DataFolder(i), Peers: peers,
 		},
-		Listener: listener, Log: r.plan.Log,
+		Listener: listener, Log: r.plan.Log, Owners: r.plan.Owners,
 		Dialer: &Dialer{Network: &r.Network, From: r.ControlPlace(i)},
 	}
 	p := &process{cancel: cancel, ended: make(chan error, 1), domain: r.domain(i)}
@@ -228,6 +230,10 @@
 		CallerListener: listeners[0], LinkListener: listeners[1], HTTPListener: listeners[2],
 		ControlDialer: dialer, LinkDialer: dialer, BackendDialer: dialer, Log: r.plan.Log,
 	}
+	if err := server.Prepare(); err != nil {
+		cancel()
+		return err
+	}
 	p := &process{
 		cancel: cancel, ended: make(chan error, 1), domain: r.domain(i), entry: server,
 		http: listeners[2].Addr().String(), caller: listeners[0].Addr().String(),
@@ -266,6 +272,16 @@
 	return addresses
 }
 
+// CallerAddress returns where an entry VM accepts callers, or "" when it is down.
+func (r *Rig) CallerAddress(i int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.entries[r.entryName(i)]; p != nil {
+		return p.caller
+	}
+	return ""
+}
+
 // Entries returns the entry VMs that are up, by name.
 func (r *Rig) Entries() map[string]*entry.Server {
 	r.mu.Lock()
