--- /dev/null
+++ b/control/cmd/trefoil-control/main.go
@@ -0,0 +1,53 @@
+// Command trefoil-control runs a control VM from a settings file.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"trefoilcourse/control"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "trefoil-control:", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var path string
+	var check bool
+	c := &cobra.Command{
+		Use:           "trefoil-control --settings FILE",
+		Short:         "Keep the configuration and the primaries, and lead the entry VMs",
+		Long:          "Runs until SIGTERM or SIGINT. Its data folder is synced before anything is promised.",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := control.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			if check {
+				fmt.Fprintln(c.OutOrStdout(), "the settings are good")
+				return nil
+			}
+			logrus.SetFormatter(&logrus.JSONFormatter{})
+			server := &control.Server{Settings: s}
+			return server.Run(c.Context())
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "control.hujson", "settings file, JSON with comments")
+	c.Flags().BoolVar(&check, "check-settings", false, "check the settings and stop")
+	return c
+}
--- a/control/internal/disk/store.go
+++ b/control/internal/disk/store.go
@@ -12,6 +12,7 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"trefoilcourse/coord/raft"
@@ -53,7 +54,7 @@
 	}
 	path := filepath.Join(folder, fileName)
 	db, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
-	if errors.Is(err, bolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("data folder %s is in use by another process", folder)
 	}
 	if err != nil {
--- a/control/membership.go
+++ b/control/membership.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,7 +22,7 @@
 
 // welcome lets a control VM with a new data folder take its predecessor's place: first the
 // predecessor, which forgot what it promised, leaves; then the newcomer joins without a vote.
-func (s *Server) welcome(now time.Time, newcomer *wire.ControlMember) {
+func (s *Server) welcome(newcomer *wire.ControlMember) {
 	current := s.node.Membership()
 	next := &wire.Membership{}
 	for _, m := range current.GetMembers() {
@@ -40,13 +39,13 @@
 	joined := proto.CloneOf(newcomer)
 	joined.Voter = false
 	next.Members = sortMembers(append(next.Members, joined))
-	if _, err := s.node.ProposeMembership(now, next); err == nil {
+	if _, err := s.node.ProposeMembership(next); err == nil {
 		s.Log.WithField("member", raft.MemberKey(joined)).Info("control VM joins without a vote")
 	}
 }
 
 // tendMembership gives a vote to a non-voter that has synced nearly the whole log.
-func (s *Server) tendMembership(now time.Time) {
+func (s *Server) tendMembership() {
 	current := s.node.Membership()
 	for i, m := range current.GetMembers() {
 		if m.GetVoter() || s.node.Match(raft.MemberKey(m))+maxVoterLag < s.node.Commit() {
@@ -57,7 +56,7 @@
 		}
 		next := proto.CloneOf(current)
 		next.Members[i].Voter = true
-		if _, err := s.node.ProposeMembership(now, next); err == nil {
+		if _, err := s.node.ProposeMembership(next); err == nil {
 			s.Log.WithField("member", raft.MemberKey(m)).Info("control VM gets its vote")
 		}
 		return
--- a/control/orders.go
+++ b/control/orders.go
@@ -15,10 +15,10 @@
 const orderTimeout = 400 * time.Millisecond
 
 // act carries out one decision of the leader.
-func (s *Server) act(ctx context.Context, now time.Time, a leader.Action) {
+func (s *Server) act(ctx context.Context, a leader.Action) {
 	switch {
 	case a.Record != nil:
-		s.record(now, a.Group, a.Record)
+		s.record(a.Group, a.Record)
 	case a.Query != nil:
 		s.query(ctx, a.Group, a.Query)
 	case a.Promote != nil:
@@ -29,7 +29,7 @@
 }
 
 // record proposes a primary once; the machine repeats the action until it is recorded.
-func (s *Server) record(now time.Time, group string, p *promote.Primary) {
+func (s *Server) record(group string, p *promote.Primary) {
 	data, err := proto.Marshal(leader.Record(group, p))
 	if err != nil {
 		s.Log.WithError(err).Error("primary does not encode")
@@ -38,7 +38,7 @@
 	if s.commanded[group] > s.node.Commit() {
 		return
 	}
-	s.commanded[group] = s.node.Propose(now, data)
+	s.commanded[group] = s.node.Propose(data)
 	s.Log.WithFields(map[string]any{"group": group, "slot": p.Slot, "term": p.Term}).Info("records primary")
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -185,9 +185,9 @@
 		return
 	}
 	for _, action := range s.leader.Tick(now) {
-		s.act(ctx, now, action)
+		s.act(ctx, action)
 	}
-	s.tendMembership(now)
+	s.tendMembership()
 }
 
 // leading reports whether this VM may answer as the leader, and starts its leadership.
@@ -218,7 +218,7 @@
 			}
 			s.metrics.syncs.Add(1)
 		}
-		s.node.Synced(time.Now(), &effects)
+		s.node.Synced(&effects)
 		if effects.Snapshot != nil {
 			s.snapshot = effects.Snapshot
 			s.formed = true
--- a/control/service.go
+++ b/control/service.go
@@ -58,7 +58,7 @@
 // Join answers a control VM that is not a voting member.
 func (a *agreementService) Join(newcomer *wire.ControlMember, answer *wire.JoinResponse) error {
 	s := a.s
-	ok := s.do(context.Background(), func(now time.Time) {
+	ok := s.do(context.Background(), func(time.Time) {
 		answer.Self = &wire.ControlMember{
 			Vm: s.Settings.VM, Incarnation: s.store.Incarnation(), Address: s.Settings.Peers[s.Settings.VM],
 		}
@@ -67,7 +67,7 @@
 		}
 		answer.Membership = proto.CloneOf(s.node.Membership())
 		if s.node.Role() == raft.Leader {
-			s.welcome(now, newcomer)
+			s.welcome(newcomer)
 		}
 	})
 	if !ok {
@@ -156,7 +156,7 @@
 		return
 	}
 	s.waiting[r.GetId()] = waiter
-	s.node.Propose(now, data)
+	s.node.Propose(data)
 }
 
 // Configuration returns the objects in force and the history.
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -109,7 +109,7 @@
 			l.groups[name].machine.Lead(now, primaryOf(l.State, name))
 		}
 		l.groups[name].machine.Slots = g.Slots
-		l.publish(now, name, l.groups[name])
+		l.publish(name, l.groups[name])
 	}
 	for name := range l.groups {
 		if _, ok := l.set.Groups[name]; !ok {
@@ -266,7 +266,7 @@
 		for _, a := range g.machine.Tick(now, fenced) {
 			actions = append(actions, Action{Group: name, Action: a})
 		}
-		l.publish(now, name, g)
+		l.publish(name, g)
 	}
 	return actions
 }
@@ -315,7 +315,7 @@
 			domains[vm] = l.members[vm].wire.GetFailureDomain()
 		}
 		g.machine.SetOwners(domains)
-		l.publish(now, name, g)
+		l.publish(name, g)
 	}
 }
 
@@ -331,7 +331,7 @@
 }
 
 // publish brings a group's lease terms and directory entry up to date.
-func (l *Leader) publish(now time.Time, name string, g *group) {
+func (l *Leader) publish(name string, g *group) {
 	primary := g.machine.Primary()
 	limit := l.set.Groups[name].Connections - len(g.machine.Slots)*controlConnections
 	l.table.Set(name, lease.Group{
--- a/coord/raft/doc.go
+++ b/coord/raft/doc.go
@@ -13,5 +13,5 @@
 //	node.Step(now, message)
 //	effects := node.Take()
 //	store.Save(effects)
-//	node.Synced(now, effects)
+//	node.Synced(&effects)
 package raft
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -39,7 +39,6 @@
 	next       uint64
 	match      uint64
 	ackedRound uint64
-	inSnapshot uint64
 }
 
 // Node is one control VM's part in the replicated log; set the exported fields before Restart.
@@ -214,18 +213,18 @@
 }
 
 // Propose appends a command if this node leads and returns its index, or 0 when it does not.
-func (n *Node) Propose(now time.Time, data []byte) uint64 {
+func (n *Node) Propose(data []byte) uint64 {
 	if n.role != Leader {
 		return 0
 	}
 	index := n.append(wire.EntryKind_ENTRY_KIND_COMMAND, data)
-	n.sendAppends(now)
+	n.sendAppends()
 	return index
 }
 
 // ProposeMembership appends a membership if this node leads, has settled, and no other change
 // is under way; it returns the index, or an error that says why not.
-func (n *Node) ProposeMembership(now time.Time, m *wire.Membership) (uint64, error) {
+func (n *Node) ProposeMembership(m *wire.Membership) (uint64, error) {
 	switch {
 	case n.role != Leader:
 		return 0, ErrNotLeader
@@ -238,7 +237,7 @@
 	index := n.append(wire.EntryKind_ENTRY_KIND_MEMBERSHIP, encodeMembership(m))
 	n.refreshMembership()
 	n.trackMembers()
-	n.sendAppends(now)
+	n.sendAppends()
 	return index, nil
 }
 
@@ -265,7 +264,7 @@
 }
 
 // Synced tells the node that the entries of e are on disk, which a leader counts as its own vote.
-func (n *Node) Synced(now time.Time, e *Effects) {
+func (n *Node) Synced(e *Effects) {
 	if k := len(e.Entries); k > 0 {
 		last := e.Entries[k-1]
 		if term, ok := n.log.term(last.GetIndex()); ok && term == last.GetTerm() {
@@ -273,7 +272,7 @@
 		}
 	}
 	if n.role == Leader {
-		n.advanceCommit(now)
+		n.advanceCommit()
 	}
 }
 
--- a/coord/raft/replicate.go
+++ b/coord/raft/replicate.go
@@ -39,23 +39,23 @@
 		delete(n.roundSent, n.round-maxRoundsKept)
 	}
 	n.nextRound = now.Add(n.HeartbeatInterval)
-	n.sendAppends(now)
+	n.sendAppends()
 }
 
-func (n *Node) sendAppends(now time.Time) {
+func (n *Node) sendAppends() {
 	for _, member := range n.membership.GetMembers() {
 		key := MemberKey(member)
 		if p := n.progress[key]; p != nil {
-			n.sendAppend(now, key, p)
+			n.sendAppend(key, p)
 		}
 	}
 }
 
-func (n *Node) sendAppend(now time.Time, key string, p *progress) {
+func (n *Node) sendAppend(key string, p *progress) {
 	previous := p.next - 1
 	term, ok := n.log.term(previous)
 	if !ok {
-		n.sendSnapshot(now, key, p)
+		n.sendSnapshot(key)
 		return
 	}
 	n.send(&wire.AgreementMessage{
@@ -66,7 +66,7 @@
 }
 
 // sendSnapshot asks the driver to attach the state: the node itself does not keep it.
-func (n *Node) sendSnapshot(_ time.Time, key string, _ *progress) {
+func (n *Node) sendSnapshot(key string) {
 	n.send(&wire.AgreementMessage{
 		Kind: wire.AgreementKind_AGREEMENT_KIND_SNAPSHOT, Term: n.term, To: key,
 		Commit: n.commit, Round: n.round,
@@ -192,19 +192,19 @@
 	p.ackedRound = max(p.ackedRound, m.GetRound())
 	if m.GetReject() {
 		p.next = max(p.match+1, min(p.next-1, m.GetLogIndex()+1))
-		n.sendAppend(now, m.GetFrom(), p)
+		n.sendAppend(m.GetFrom(), p)
 		return
 	}
 	p.match = max(p.match, m.GetLogIndex())
 	p.next = max(p.next, p.match+1)
-	n.advanceCommit(now)
+	n.advanceCommit()
 	if p.next <= n.log.last() {
-		n.sendAppend(now, m.GetFrom(), p)
+		n.sendAppend(m.GetFrom(), p)
 	}
 }
 
 // advanceCommit commits the highest entry of this term that a majority of voters has synced.
-func (n *Node) advanceCommit(now time.Time) {
+func (n *Node) advanceCommit() {
 	var matches []uint64
 	for _, key := range voters(n.membership) {
 		matches = append(matches, n.Match(key))
@@ -219,5 +219,5 @@
 		return
 	}
 	n.commit = index
-	n.sendAppends(now)
+	n.sendAppends()
 }
--- a/entry/owner/keyed.go
+++ b/entry/owner/keyed.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -17,7 +16,7 @@
 
 // runKeyed runs a batch in one transaction with the record of its request key, so that the key
 // is kept exactly if the batch's effects are, and a repeat finds it wherever it is run.
-func (u *unit) runKeyed(ctx context.Context, conn *backend.Conn) {
+func (u *unit) runKeyed(conn *backend.Conn) {
 	key := u.open.GetRequestKey()
 	first, err := u.claimKey(conn, key)
 	if err != nil {
--- a/entry/owner/pool.go
+++ b/entry/owner/pool.go
@@ -55,8 +55,7 @@
 	defer p.mu.Unlock()
 	grown := allowed > p.allowed
 	p.allowed = allowed
-	for p.opened > p.allowed && p.dropIdle("") {
-	}
+	p.dropIdleAbove(p.allowed)
 	if grown {
 		p.notify()
 	}
@@ -67,8 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for p.dropIdle("") {
-	}
+	p.dropIdleAbove(0)
 	for conn := range p.used {
 		conn.Close()
 	}
@@ -80,6 +78,15 @@
 	p.freed = make(chan struct{})
 }
 
+// dropIdleAbove closes idle connections until no more than count are open; mu is held.
+func (p *pool) dropIdleAbove(count int) {
+	for p.opened > count {
+		if !p.dropIdle("") {
+			return
+		}
+	}
+}
+
 // dropIdle closes one idle connection to a slot other than keep; mu is held.
 func (p *pool) dropIdle(keep string) bool {
 	for slot, conns := range p.idle {
--- a/entry/owner/serving.go
+++ b/entry/owner/serving.go
@@ -56,7 +56,7 @@
 			s.cancel(ctx)
 			continue
 		}
-		if !s.feed(ctx, g, f) {
+		if !s.feed(g, f) {
 			s.abandon()
 			return
 		}
@@ -64,7 +64,7 @@
 }
 
 // feed hands a frame to the unit under way; false means that the stream is at its end.
-func (s *serving) feed(ctx context.Context, g *group, f frame.Frame) bool {
+func (s *serving) feed(g *group, f frame.Frame) bool {
 	s.mu.Lock()
 	u := s.current
 	s.mu.Unlock()
@@ -82,12 +82,12 @@
 			return false
 		}
 	}
-	return s.begin(ctx, g, f)
+	return s.begin(g, f)
 }
 
 // begin starts a unit of work with its first frame. Later units of a stream run as writes,
 // since what is known of the stream is known of its first unit only.
-func (s *serving) begin(ctx context.Context, g *group, f frame.Frame) bool {
+func (s *serving) begin(g *group, f frame.Frame) bool {
 	open := s.open
 	s.mu.Lock()
 	if s.current != nil {
--- a/entry/owner/unit.go
+++ b/entry/owner/unit.go
@@ -221,12 +221,6 @@
 	}
 }
 
-func (u *unit) isAbandoned() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.failed
-}
-
 func (u *unit) cancelRunning(ctx context.Context) {
 	u.mu.Lock()
 	conn := u.conn
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if u.open.GetRequestKey() != "" {
-		u.runKeyed(ctx, conn)
+		u.runKeyed(conn)
 		return
 	}
 	u.runOn(conn)
--- a/standin/server.go
+++ b/standin/server.go
@@ -32,7 +32,6 @@
 	frozen    atomic.Bool
 	extraLag  atomic.Int64
 	followers sync.Map
-	slowNanos atomic.Int64
 }
 
 // Address returns the host and port that the server listens at.
--- a/trefoil/internal/measure/caller.go
+++ b/trefoil/internal/measure/caller.go
@@ -179,14 +179,13 @@
 	} else {
 		_, err = c.conn.Exec(ctx, "INSERT INTO ledger (id, body) VALUES ($1, $2)", id, body)
 	}
-	v, code := classify(err)
+	_, code := classify(err)
 	if !c.exists && code == "23505" && c.unsure > 0 {
 		c.exists = true
 		c.settle(err)
 		return
 	}
-	v = c.finish(id, body, began, err)
-	switch v {
+	switch c.finish(id, body, began, err) {
 	case acknowledged:
 		c.exists = true
 		c.sequence = next
--- a/trefoil/internal/measure/record.go
+++ b/trefoil/internal/measure/record.go
@@ -19,14 +19,13 @@
 
 // attempt is a write that a caller asked for.
 type attempt struct {
-	group    string
-	id       string
-	body     string
-	verdict  verdict
-	code     string
-	repeated bool
-	began    time.Time
-	ended    time.Time
+	group   string
+	id      string
+	body    string
+	verdict verdict
+	code    string
+	began   time.Time
+	ended   time.Time
 }
 
 const (
--- a/trefoil/internal/measure/run.go
+++ b/trefoil/internal/measure/run.go
@@ -57,7 +57,6 @@
 	mu       sync.Mutex
 	draining map[string]bool
 	leaving  map[string]bool
-	limited  bool
 }
 
 // Run measures and returns the report; a broken promise is in the report, not an error.
--- a/trefoil/internal/rig/delayed.go
+++ b/trefoil/internal/rig/delayed.go
@@ -166,7 +166,7 @@
 			timer = time.NewTimer(time.Until(deadline))
 			expired = timer.C
 		}
-		k, err, again := c.receive(expired, changed)
+		k, again, err := c.receive(expired, changed)
 		if timer != nil {
 			timer.Stop()
 		}
@@ -176,21 +176,21 @@
 	}
 }
 
-func (c *delayed) receive(expired <-chan time.Time, changed chan struct{}) (chunk, error, bool) {
+func (c *delayed) receive(expired <-chan time.Time, changed chan struct{}) (k chunk, again bool, err error) {
 	select {
 	case <-c.closed:
-		return chunk{}, net.ErrClosed, false
+		return chunk{}, false, net.ErrClosed
 	case <-expired:
-		return chunk{}, errTimeout{}, false
+		return chunk{}, false, errTimeout{}
 	case <-changed:
-		return chunk{}, nil, true
+		return chunk{}, true, nil
 	case k, ok := <-c.in:
 		if !ok {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return chunk{}, c.failure, false
+			return chunk{}, false, c.failure
 		}
-		return k, nil, false
+		return k, false, nil
 	}
 }
 
--- a/wire/protorpc/codec.go
+++ b/wire/protorpc/codec.go
@@ -29,10 +29,9 @@
 func (t *Traffic) Written() uint64 { return t.written.Load() }
 
 type codec struct {
-	conn    io.ReadWriteCloser
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	traffic *Traffic
+	conn   io.ReadWriteCloser
+	reader *bufio.Reader
+	writer *bufio.Writer
 }
 
 type countedConn struct {
