--- /dev/null
+++ b/coord/lease/lease_test.go
@@ -0,0 +1,145 @@
+package lease_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"trefoilcourse/coord/lease"
+)
+
+// TestMain fixes the seed of the properties, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+		_ = flag.Set("rapid.checks", "500")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// TestReleaseForgetsTheGrant: the leader may have counted on a release, so that a grant from
+// before it must not count again when the release is taken back.
+func TestReleaseForgetsTheGrant(t *testing.T) {
+	is := is.New(t)
+	h := &lease.Holder{}
+	grants := map[string]lease.Grant{"g": {Term: 3, Connections: 5}}
+	is.True(h.Answered(at(0), 1, time.Second, grants))
+	is.Equal(h.Term(at(10), "g"), uint64(3))
+	h.Release("g", 3)
+	is.Equal(h.Term(at(20), "g"), uint64(0))
+	h.Restore("g")
+	is.Equal(h.Term(at(30), "g"), uint64(0))
+	is.True(h.Answered(at(40), 1, time.Second, grants))
+	is.Equal(h.Term(at(50), "g"), uint64(3))
+}
+
+func TestEarlierLeaderIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := &lease.Holder{}
+	is.True(h.Answered(at(0), 7, time.Second, map[string]lease.Grant{"g": {Term: 3, Connections: 5}}))
+	is.True(!h.Answered(at(10), 6, time.Second, nil))
+	is.Equal(h.Connections(at(20), "g"), 5)
+}
+
+// TestClosingLetsHoldersFinish: while a primary is closed, an owner without its term gets none.
+func TestClosingLetsHoldersFinish(t *testing.T) {
+	is := is.New(t)
+	table := &lease.Table{Duration: time.Second}
+	table.Lead(at(0))
+	now := at(2000)
+	table.Set("g", lease.Group{Term: 3, Limit: 30, Owners: []string{"e1", "e2"}})
+	is.Equal(table.Renew(now, "e1", "g", lease.Holding{}).Term, uint64(3))
+	table.Set("g", lease.Group{Term: 3, Closing: true, Limit: 30, Owners: []string{"e1", "e2"}})
+	is.Equal(table.Renew(now, "e2", "g", lease.Holding{}).Term, uint64(0))
+	is.Equal(table.Renew(now, "e1", "g", lease.Holding{Term: 3, Connections: 10}).Term, uint64(3))
+	is.True(!table.Fenced(now, "g", 3))
+	is.Equal(table.Renew(now, "e1", "g", lease.Holding{Connections: 10}).Term, uint64(0))
+	is.True(table.Fenced(now, "g", 3))
+}
+
+// TestLimit compares the table with a plain sum: whatever the holders do within their grants,
+// and however leaders and owners change, the connections that may be open stay in the limit.
+func TestLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(6, 120).Draw(t, "limit")
+		now := start
+		table := &lease.Table{Duration: time.Second}
+		table.Lead(now)
+		vms := []string{"e0", "e1", "e2", "e3", "e4", "e5"}
+		holders := map[string]*lease.Holder{}
+		open := map[string]int{}
+		for _, vm := range vms {
+			holders[vm] = &lease.Holder{}
+		}
+		term := uint64(1)
+		for i := range rapid.IntRange(10, 80).Draw(t, "steps") {
+			first := rapid.IntRange(0, len(vms)-3).Draw(t, "first")
+			table.Set("g", lease.Group{Term: 1, Limit: limit, Owners: vms[first : first+3]})
+			vm := rapid.SampledFrom(vms).Draw(t, "vm")
+			h := holders[vm]
+			allowed := h.Connections(now, "g")
+			if now.Before(h.Until("g")) {
+				open[vm] = min(max(open[vm], allowed), max(allowed, rapid.IntRange(0, limit).Draw(t, "closed to")))
+			}
+			held := lease.Holding{Connections: max(open[vm], allowed), Demand: rapid.IntRange(0, 50).Draw(t, "demand")}
+			if !now.Before(h.Until("g")) {
+				held = lease.Holding{}
+			}
+			grant := table.Renew(now, vm, "g", held)
+			if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+				h.Answered(now, term, time.Second, map[string]lease.Grant{"g": grant})
+				open[vm] = max(open[vm], grant.Connections)
+			}
+			if rapid.IntRange(0, 15).Draw(t, "new leader") == 0 {
+				term++
+				table = &lease.Table{Duration: time.Second}
+				table.Lead(now)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "time")) * time.Millisecond)
+			sum := 0
+			for _, vm := range vms {
+				if now.Before(holders[vm].Until("g")) {
+					sum += open[vm]
+				} else {
+					open[vm] = 0
+				}
+			}
+			if sum > limit {
+				t.Fatalf("step %d: %d connections are open, the limit is %d", i, sum, limit)
+			}
+		}
+	})
+}
+
+// TestSharesFollowDemand: an owner with more to do gets more, and none gets nothing.
+func TestSharesFollowDemand(t *testing.T) {
+	is := is.New(t)
+	table := &lease.Table{Duration: time.Second}
+	table.Lead(at(0))
+	owners := []string{"e1", "e2", "e3"}
+	table.Set("g", lease.Group{Term: 1, Limit: 45, Owners: owners})
+	held := map[string]int{}
+	for i := range 20 {
+		now := at(2000 + 100*i)
+		for _, vm := range owners {
+			demand := 0
+			if vm == "e1" {
+				demand = 40
+			}
+			grant := table.Renew(now, vm, "g", lease.Holding{Term: 1, Connections: held[vm], Demand: demand})
+			held[vm] = grant.Connections
+		}
+	}
+	is.True(held["e1"] > 20)
+	is.True(held["e2"] >= 7)
+	is.True(held["e1"]+held["e2"]+held["e3"] <= 45)
+}
--- /dev/null
+++ b/coord/place/place_test.go
@@ -0,0 +1,92 @@
+package place_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"trefoilcourse/coord/place"
+)
+
+// TestMain fixes the seed of the properties, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+func members(count, domains int) []place.Member {
+	var all []place.Member
+	for i := range count {
+		all = append(all, place.Member{VM: fmt.Sprintf("e%d", i), FailureDomain: fmt.Sprintf("d%d", i%domains)})
+	}
+	return all
+}
+
+// TestOneVMMovesOnlyItsOwn: when a VM goes, groups that it did not own keep their owners, and
+// the others keep the owners that stay unless the failure domains ask otherwise.
+func TestOneVMMovesOnlyItsOwn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(rapid.IntRange(4, 40).Draw(t, "vms"), rapid.IntRange(1, 7).Draw(t, "domains"))
+		gone := rapid.IntRange(0, len(all)-1).Draw(t, "gone")
+		rest := slices.Delete(slices.Clone(all), gone, gone+1)
+		for g := range 50 {
+			name := fmt.Sprintf("group-%d", g)
+			before := place.Owners(name, all, 3)
+			after := place.Owners(name, rest, 3)
+			if !slices.Contains(before, all[gone].VM) && !slices.Equal(before, after) {
+				t.Fatalf("%s moved from %v to %v although %s owned nothing of it", name, before, after, all[gone].VM)
+			}
+		}
+	})
+}
+
+// TestDomains: owners share a failure domain only when there are too few.
+func TestDomains(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 7).Draw(t, "domains")
+		all := members(rapid.IntRange(7, 40).Draw(t, "vms"), domains)
+		owners := place.Owners("g", all, 3)
+		used := map[string]bool{}
+		for _, m := range all {
+			if slices.Contains(owners, m.VM) {
+				used[m.FailureDomain] = true
+			}
+		}
+		if len(owners) != 3 || len(used) != min(3, domains) {
+			t.Fatalf("owners %v in %d of %d domains", owners, len(used), domains)
+		}
+	})
+}
+
+// TestBalance: no VM owns much more than its part.
+func TestBalance(t *testing.T) {
+	all := members(570, 7)
+	counts := map[string]int{}
+	for g := range 880 {
+		for _, vm := range place.Owners(fmt.Sprintf("group-%d", g), all, 3) {
+			counts[vm]++
+		}
+	}
+	most := 0
+	for _, c := range counts {
+		most = max(most, c)
+	}
+	const fair = 880.0 * 3 / 570
+	if float64(most) > 4*fair {
+		t.Fatalf("a VM owns %d groups; the fair part is %.1f", most, fair)
+	}
+}
+
+func BenchmarkOwners(b *testing.B) {
+	all := members(570, 7)
+	for b.Loop() {
+		place.Owners("group-1", all, 3)
+	}
+}
--- /dev/null
+++ b/coord/raft/node_test.go
@@ -0,0 +1,92 @@
+package raft_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/coord/raft"
+	"trefoilcourse/wire"
+)
+
+func threeVoters() *wire.Membership {
+	return &wire.Membership{Members: []*wire.ControlMember{
+		{Vm: "a", Incarnation: "0", Voter: true},
+		{Vm: "b", Incarnation: "0", Voter: true},
+		{Vm: "c", Incarnation: "0", Voter: true},
+	}}
+}
+
+func votes(n *raft.Node, d *disk) []*wire.AgreementMessage {
+	e := n.Take()
+	d.save(&e)
+	var answers []*wire.AgreementMessage
+	for _, m := range e.Messages {
+		if m.GetKind() == wire.AgreementKind_AGREEMENT_KIND_VOTE_ANSWER {
+			answers = append(answers, m)
+		}
+	}
+	return answers
+}
+
+// TestVoteIsRemembered: a VM that restarts after its vote gives no second one in the term.
+func TestVoteIsRemembered(t *testing.T) {
+	is := is.New(t)
+	d := &disk{snapshot: &wire.LogSnapshot{Membership: threeVoters()}}
+	now := time.Unix(1000, 0)
+	n := &raft.Node{Self: "a/0"}
+	n.Restart(now, d.stored())
+	now = now.Add(time.Second)
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_VOTE, Term: 5, From: "b/0", To: "a/0"})
+	first := votes(n, d)
+	is.Equal(len(first), 1)
+	is.True(!first[0].GetReject())
+	n = &raft.Node{Self: "a/0"}
+	n.Restart(now, d.stored())
+	now = now.Add(time.Second)
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_VOTE, Term: 5, From: "c/0", To: "a/0"})
+	second := votes(n, d)
+	is.Equal(len(second), 1)
+	is.True(second[0].GetReject()) // the vote of term 5 went to b before the restart
+}
+
+// TestEarlierTermIsNotCommittedByCount: an entry of an earlier term on a majority may still be
+// overwritten, so a leader commits it only with one of its own.
+func TestEarlierTermIsNotCommittedByCount(t *testing.T) {
+	is := is.New(t)
+	d := &disk{
+		snapshot: &wire.LogSnapshot{Membership: threeVoters()},
+		hard:     &wire.HardState{Term: 1},
+		entries:  []*wire.LogEntry{{Index: 1, Term: 1, Data: []byte("old")}},
+	}
+	now := time.Unix(1000, 0)
+	n := &raft.Node{Self: "a/0"}
+	n.Restart(now, d.stored())
+	now = now.Add(5 * time.Second)
+	n.Tick(now)
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE_ANSWER, Term: 2, From: "b/0", To: "a/0"})
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_VOTE_ANSWER, Term: 2, From: "b/0", To: "a/0"})
+	is.Equal(n.Role(), raft.Leader)
+	e := n.Take()
+	n.Synced(&e)
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND_ANSWER, Term: 2, From: "b/0", To: "a/0", LogIndex: 1, Round: 1})
+	is.Equal(n.Commit(), uint64(0))
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND_ANSWER, Term: 2, From: "b/0", To: "a/0", LogIndex: 2, Round: 1})
+	is.Equal(n.Commit(), uint64(2))
+}
+
+// TestOneBadLink: a VM that alone cannot hear the leader deposes nobody.
+func TestOneBadLink(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(8, 3)
+	m := c.awaitLeader(5 * time.Second)
+	term := m.node.Term()
+	deaf := other(c, m)
+	c.cut[[2]string{m.key, deaf.key}] = true
+	c.cut[[2]string{deaf.key, m.key}] = true
+	c.run(20 * time.Second)
+	is.Equal(c.leader(), m)
+	is.Equal(m.node.Term(), term)
+	is.Equal(len(c.faults), 0)
+}
--- /dev/null
+++ b/coord/watch/watch.go
@@ -0,0 +1,242 @@
+package watch
+
+import (
+	"slices"
+	"time"
+
+	"trefoilcourse/coord/route"
+	"trefoilcourse/coord/session"
+)
+
+const (
+	// SuspectAfter is the time without a good answer after which a primary is unreachable.
+	SuspectAfter = time.Second
+	// StallAfter is the time without progress of replication, while it is waited for, after
+	// which a primary is stalled.
+	StallAfter = 1500 * time.Millisecond
+	// doubtAfter is the time without a good answer after which nothing is concluded.
+	doubtAfter = 400 * time.Millisecond
+	// lagWeight is the inverse of the weight of a new lag in the running mean.
+	lagWeight = 8
+)
+
+// Health is what an owner finds about a primary.
+type Health int
+
+// The findings about a primary.
+const (
+	Unknown Health = iota
+	Good
+	Unreachable
+	Stalled
+)
+
+// String returns the finding's name in kebab case.
+func (h Health) String() string {
+	return [...]string{"unknown", "good", "unreachable", "stalled"}[h]
+}
+
+// Replica is a row of the primary's view of a replica.
+type Replica struct {
+	Slot        string
+	Incarnation string
+	// Flushed is the offset in bytes up to which it has synced the primary's log.
+	Flushed uint64
+	// Replayed is how far reads see on it.
+	Replayed session.Position
+}
+
+// Report is a primary's answer to a poll.
+type Report struct {
+	// Asked is when the poll was sent; everything committed before is covered by Position.
+	Asked    time.Time
+	Leads    bool
+	Position session.Position
+	Replicas []Replica
+}
+
+// Group says whose data counts towards a majority.
+type Group struct {
+	// Slots is the number of configured slots.
+	Slots int
+	// Primary is the primary's slot.
+	Primary string
+	// Admitted is the incarnation whose data counts, by slot.
+	Admitted map[string]string
+}
+
+// Done is the end of a wait: Position covers what was committed before the wait began, unless
+// Superseded says that the lease ended first.
+type Done struct {
+	ID         uint64
+	Position   session.Position
+	Superseded bool
+}
+
+type wait struct {
+	since    time.Time
+	term     uint64
+	majority bool
+	known    bool
+	position session.Position
+}
+
+type replica struct {
+	replayed session.Position
+	reported time.Time
+	lag      time.Duration
+}
+
+// Watch is an owner's view of one group's primary; it is not safe for concurrent use.
+type Watch struct {
+	term      uint64
+	health    Health
+	goodAt    time.Time
+	advanceAt time.Time
+	majority  session.Position
+	sightings route.Sightings
+	replicas  map[string]*replica
+	waits     map[uint64]*wait
+	lastID    uint64
+}
+
+// Start begins a term: what was found out about the primary of another does not count.
+func (w *Watch) Start(now time.Time, term uint64) {
+	if w.term == term && !w.goodAt.IsZero() {
+		return
+	}
+	w.term = term
+	w.health = Unknown
+	w.goodAt = now
+	w.advanceAt = now
+	w.replicas = map[string]*replica{}
+}
+
+// Term returns the term that is watched.
+func (w *Watch) Term() uint64 { return w.term }
+
+// Health returns the last finding.
+func (w *Watch) Health() Health { return w.health }
+
+// Waiting returns the number of waits.
+func (w *Watch) Waiting() int { return len(w.waits) }
+
+// Majority returns the highest position that a majority of the slots was known to have synced.
+func (w *Watch) Majority() session.Position { return w.majority }
+
+// Sightings returns the positions of the primary by time.
+func (w *Watch) Sightings() *route.Sightings { return &w.sightings }
+
+// Await begins to wait for a position that covers everything committed before now; with
+// majority, until a majority has it. A wait with a term ends when the lease for it does.
+func (w *Watch) Await(now time.Time, term uint64, majority bool) uint64 {
+	if w.waits == nil {
+		w.waits = map[uint64]*wait{}
+	}
+	if len(w.waits) == 0 {
+		w.advanceAt = now
+	}
+	w.lastID++
+	w.waits[w.lastID] = &wait{since: now, term: term, majority: majority}
+	return w.lastID
+}
+
+// Cancel ends a wait without an outcome.
+func (w *Watch) Cancel(id uint64) { delete(w.waits, id) }
+
+// Learn takes over a poll's answer and returns the waits that it ends.
+func (w *Watch) Learn(now time.Time, r Report, g Group) []Done {
+	w.goodAt = now
+	w.sightings.Record(r.Asked, r.Position)
+	for _, f := range r.Replicas {
+		w.learnReplica(r.Asked, f)
+	}
+	majority := majorityOf(r, g)
+	if w.majority.Less(majority) || !majority.Less(r.Position) {
+		w.advanceAt = now
+	}
+	w.majority = w.majority.Max(majority)
+	return w.endWaits(r)
+}
+
+func (w *Watch) learnReplica(asked time.Time, f Replica) {
+	known := w.replicas[f.Slot]
+	if known == nil {
+		known = &replica{}
+		w.replicas[f.Slot] = known
+	}
+	known.replayed = f.Replayed
+	known.reported = asked
+	if age, ok := w.sightings.Age(asked, f.Replayed); ok {
+		known.lag += (age - known.lag) / lagWeight
+	}
+}
+
+// majorityOf returns the highest position that a majority of the slots has synced; only servers
+// whose data is known to be that of their slot count.
+func majorityOf(r Report, g Group) session.Position {
+	offsets := []uint64{r.Position.Offset}
+	for _, f := range r.Replicas {
+		if f.Slot != g.Primary && f.Incarnation != "" && g.Admitted[f.Slot] == f.Incarnation {
+			offsets = append(offsets, f.Flushed)
+		}
+	}
+	needed := g.Slots/2 + 1
+	if len(offsets) < needed {
+		return session.Position{}
+	}
+	slices.Sort(offsets)
+	return session.Position{Term: r.Position.Term, Offset: offsets[len(offsets)-needed]}
+}
+
+func (w *Watch) endWaits(r Report) []Done {
+	var ended []Done
+	for id, t := range w.waits {
+		if !t.known && !r.Asked.Before(t.since) {
+			t.position = r.Position
+			t.known = true
+		}
+		if t.known && (!t.majority || !w.majority.Less(t.position)) {
+			ended = append(ended, Done{ID: id, Position: t.position, Superseded: t.term != 0 && t.term != t.position.Term})
+			delete(w.waits, id)
+		}
+	}
+	return ended
+}
+
+// Superseded ends the waits of writes whose lease has ended; ackTerm is the term in which
+// writes may be acknowledged now, or 0.
+func (w *Watch) Superseded(ackTerm uint64) []Done {
+	var ended []Done
+	for id, t := range w.waits {
+		if t.term != 0 && t.term != ackTerm {
+			ended = append(ended, Done{ID: id, Superseded: true})
+			delete(w.waits, id)
+		}
+	}
+	return ended
+}
+
+// Judge draws a conclusion about the primary and reports whether it is another than before.
+func (w *Watch) Judge(now time.Time) (h Health, changed bool) {
+	before := w.health
+	switch {
+	case now.Sub(w.goodAt) > SuspectAfter:
+		w.health = Unreachable
+	case len(w.waits) > 0 && now.Sub(w.advanceAt) > StallAfter:
+		w.health = Stalled
+	case now.Sub(w.goodAt) <= doubtAfter:
+		w.health = Good
+	}
+	return w.health, w.health != before
+}
+
+// Replica returns what is known of a replica, for routing reads; ok is false for one that the
+// primary has not reported in this term.
+func (w *Watch) Replica(slot string) (s route.Server, ok bool) {
+	r := w.replicas[slot]
+	if r == nil {
+		return route.Server{}, false
+	}
+	return route.Server{Slot: slot, Replayed: r.replayed, Reported: r.reported, Lag: r.lag}, true
+}
--- /dev/null
+++ b/coord/watch/watch_test.go
@@ -0,0 +1,85 @@
+package watch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/coord/session"
+	"trefoilcourse/coord/watch"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func pos(offset uint64) session.Position { return session.Position{Term: 4, Offset: offset} }
+
+func group() watch.Group {
+	return watch.Group{Slots: 3, Primary: "a", Admitted: map[string]string{"a": "1", "b": "1", "c": "1"}}
+}
+
+func report(asked int, offset uint64, b, c uint64) watch.Report {
+	return watch.Report{Asked: at(asked), Leads: true, Position: pos(offset), Replicas: []watch.Replica{
+		{Slot: "b", Incarnation: "1", Flushed: b}, {Slot: "c", Incarnation: "1", Flushed: c},
+	}}
+}
+
+func started() *watch.Watch {
+	w := &watch.Watch{}
+	w.Start(at(0), 4)
+	return w
+}
+
+// TestWaitNeedsMajorityOfALaterPoll: neither a poll sent before the wait nor one replica too few
+// ends it.
+func TestWaitNeedsMajorityOfALaterPoll(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	id := w.Await(at(10), 4, true)
+	is.Equal(len(w.Learn(at(12), report(9, 100, 100, 100), group())), 0)  // asked before
+	is.Equal(len(w.Learn(at(14), report(11, 120, 100, 110), group())), 0) // replicas lack it
+	done := w.Learn(at(16), report(13, 140, 100, 120), group())           // one of two has 120
+	is.Equal(done, []watch.Done{{ID: id, Position: pos(120)}})
+}
+
+// TestNewcomerDoesNotCount: a server whose data is not known to be that of its slot adds
+// nothing to a majority, since its predecessor's promises went with its disk.
+func TestNewcomerDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	w.Await(at(10), 4, true)
+	r := report(11, 100, 0, 0)
+	r.Replicas[0] = watch.Replica{Slot: "b", Incarnation: "2", Flushed: 100}
+	is.Equal(len(w.Learn(at(12), r, group())), 0)
+}
+
+func TestWaitEndsWithItsLease(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	id := w.Await(at(10), 4, true)
+	floor := w.Await(at(10), 0, false)
+	is.Equal(w.Superseded(4), nil)
+	is.Equal(w.Superseded(0), []watch.Done{{ID: id, Superseded: true}})
+	is.Equal(w.Learn(at(12), report(11, 100, 0, 0), group()), []watch.Done{{ID: floor, Position: pos(100)}})
+}
+
+func TestHealth(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	judge := func(ms int) watch.Health {
+		h, _ := w.Judge(at(ms))
+		return h
+	}
+	is.Equal(judge(100), watch.Good)
+	is.Equal(judge(900), watch.Good) // in doubt nothing changes
+	is.Equal(judge(1100), watch.Unreachable)
+	w.Learn(at(1200), report(1190, 100, 100, 100), group())
+	is.Equal(judge(1210), watch.Good)
+	w.Await(at(1300), 4, true)
+	for ms := 1400; ms <= 3000; ms += 200 {
+		w.Learn(at(ms), report(ms-10, 200, 100, 100), group())
+	}
+	is.Equal(judge(3000), watch.Stalled) // it answers, and its replicas get nothing
+}
--- a/entry/backend/report.go
+++ b/entry/backend/report.go
@@ -6,31 +6,15 @@
 	"time"
 
 	"trefoilcourse/coord/session"
+	"trefoilcourse/coord/watch"
 	"trefoilcourse/wire/lsn"
 )
 
-// Replica is a row of the primary's view of a replica.
-type Replica struct {
-	Slot        string
-	Incarnation string
-	Flushed     uint64
-	Replayed    session.Position
-}
-
-// Report is a primary's answer to a poll.
-type Report struct {
-	// Asked is when the poll was sent; everything committed before is covered by Position.
-	Asked    time.Time
-	Leads    bool
-	Position session.Position
-	Replicas []Replica
-}
-
 // Poll asks the primary for its position and those of its replicas, in this order.
-func (c *Conn) Poll(deadline time.Time) (Report, error) {
+func (c *Conn) Poll(deadline time.Time) (watch.Report, error) {
 	c.SetDeadline(deadline)
 	defer c.SetDeadline(time.Time{})
-	report := Report{Asked: time.Now()}
+	report := watch.Report{Asked: time.Now()}
 	rows, err := c.ask(primaryQuery + "; " + replicaQuery)
 	if err != nil {
 		return report, err
@@ -64,20 +48,20 @@
 
 // parseReplica reads one row; a replica that has not replayed the start of the primary's term
 // counts as being in no term, which is less than it may have.
-func parseReplica(row []string, term, start uint64) (Replica, error) {
+func parseReplica(row []string, term, start uint64) (watch.Replica, error) {
 	if len(row) != 3 {
-		return Replica{}, errUnexpected
+		return watch.Replica{}, errUnexpected
 	}
 	slot, incarnation, _ := strings.Cut(row[0], "@")
 	flushed, err := lsn.Parse(row[1])
 	if err != nil {
-		return Replica{}, err
+		return watch.Replica{}, err
 	}
 	replayed, err := lsn.Parse(row[2])
 	if err != nil {
-		return Replica{}, err
+		return watch.Replica{}, err
 	}
-	r := Replica{Slot: slot, Incarnation: incarnation, Flushed: flushed}
+	r := watch.Replica{Slot: slot, Incarnation: incarnation, Flushed: flushed}
 	r.Replayed.Offset = replayed
 	if replayed >= start {
 		r.Replayed.Term = term
--- a/entry/owner/durable.go
+++ b/entry/owner/durable.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"trefoilcourse/coord/session"
-	"trefoilcourse/entry/backend"
+	"trefoilcourse/coord/watch"
 )
 
 var (
@@ -14,59 +14,57 @@
 	errSuperseded = errors.New("the lease for the primary's term ended before it was confirmed")
 )
 
-// waiter waits until what was committed before a time is held by a majority of the slots.
-type waiter struct {
-	since    time.Time
-	majority bool
-	position session.Position
-	known    bool
-	term     uint64
-	err      error
-	done     chan struct{}
+// wakeDone tells waiters how their waits ended; mu is held.
+func (g *group) wakeDone(ended []watch.Done) {
+	for _, d := range ended {
+		if waiter := g.waiters[d.ID]; waiter != nil {
+			waiter <- d
+			delete(g.waiters, d.ID)
+		}
+	}
 }
 
-// learn takes note of a poll and reports whether the wait is over.
-func (w *waiter) learn(r backend.Report, majority session.Position) bool {
-	if !w.known && !r.Asked.Before(w.since) {
-		w.position = r.Position
-		w.known = true
-	}
-	if !w.known || w.majority && majority.Less(w.position) {
-		return false
-	}
-	close(w.done)
-	return true
+// dropSuperseded ends the waits of writes whose lease has ended.
+func (g *group) dropSuperseded(ackTerm uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wakeDone(g.seen.Superseded(ackTerm))
 }
 
 // await returns a position that covers everything committed before now: with majority, once
 // enough slots have it. With a term other than 0 the wait ends when the lease for it does.
 func (g *group) await(ctx context.Context, majority bool, term uint64) (session.Position, error) {
-	w := &waiter{since: time.Now(), majority: majority, term: term, done: make(chan struct{})}
+	waiter := make(chan watch.Done, 1)
 	g.mu.Lock()
-	if len(g.waiters) == 0 {
-		g.advanceAt = w.since
-	}
-	g.waiters[w] = true
+	id := g.seen.Await(time.Now(), term, majority)
+	g.waiters[id] = waiter
 	g.mu.Unlock()
 	select {
 	case g.wake <- struct{}{}:
 	default:
 	}
-	defer func() {
-		g.mu.Lock()
-		delete(g.waiters, w)
-		g.mu.Unlock()
-	}()
 	select {
-	case <-w.done:
-		return w.position, w.err
+	case done := <-waiter:
+		if done.Superseded {
+			return session.Position{}, errSuperseded
+		}
+		return done.Position, nil
 	case <-ctx.Done():
+		g.forgetWait(id)
 		return session.Position{}, errNotDurable
 	case <-g.ctx.Done():
+		g.forgetWait(id)
 		return session.Position{}, errSuperseded
 	}
 }
 
+func (g *group) forgetWait(id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen.Cancel(id)
+	delete(g.waiters, id)
+}
+
 // acknowledge waits until a write of term that has been answered by the primary may be
 // acknowledged, and returns the position that covers it.
 func (g *group) acknowledge(ctx context.Context, term uint64) (session.Position, error) {
@@ -75,29 +73,16 @@
 	if err != nil {
 		return session.Position{}, err
 	}
-	if position.Term != term || g.owner.View.AckTerm(time.Now(), g.name) != term {
+	if g.owner.View.AckTerm(time.Now(), g.name) != term {
 		return session.Position{}, errSuperseded
 	}
 	return position, nil
 }
 
-// dropSuperseded ends the waits of writes whose lease has ended.
-func (g *group) dropSuperseded(ackTerm uint64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for w := range g.waiters {
-		if w.term != 0 && w.term != ackTerm {
-			w.err = errSuperseded
-			close(w.done)
-			delete(g.waiters, w)
-		}
-	}
-}
-
 // floorAt returns a position that covers everything committed before at.
 func (g *group) floorAt(ctx context.Context, at time.Time) (session.Position, error) {
 	g.mu.Lock()
-	position, ok := g.sightings.FloorAt(at)
+	position, ok := g.seen.Sightings().FloorAt(at)
 	g.mu.Unlock()
 	if ok {
 		return position, nil
--- a/entry/owner/group.go
+++ b/entry/owner/group.go
@@ -9,9 +9,7 @@
 
 	"trefoilcourse/coord/admit"
 	"trefoilcourse/coord/retry"
-	"trefoilcourse/coord/route"
-	"trefoilcourse/coord/session"
-	"trefoilcourse/entry/backend"
+	"trefoilcourse/coord/watch"
 	"trefoilcourse/entry/internal/outcome"
 	"trefoilcourse/wire"
 )
@@ -43,25 +41,10 @@
 	closing    bool
 	handedOver bool
 
-	sightings route.Sightings
-	replicas  map[string]*replica
-	majority  session.Position
-	lastPoll  backend.Report
-	progress  chan struct{}
-	waiters   map[*waiter]bool
-	wake      chan struct{}
-	health    wire.PrimaryHealth
-	healthFor uint64
-	goodAt    time.Time
-	advanceAt time.Time
-}
-
-// replica is what polls have shown of one replica.
-type replica struct {
-	replayed session.Position
-	reported time.Time
-	lag      time.Duration
-	busy     int
+	seen    watch.Watch
+	busy    map[string]int
+	waiters map[uint64]chan watch.Done
+	wake    chan struct{}
 }
 
 // ticket is a unit of work that waits for its turn.
@@ -74,9 +57,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	g := &group{
 		owner: o, name: name, ctx: ctx, cancel: cancel, ended: make(chan struct{}),
-		tickets: map[uint64]*ticket{}, replicas: map[string]*replica{},
-		progress: make(chan struct{}), waiters: map[*waiter]bool{}, wake: make(chan struct{}, 1),
-		work: pond.NewPool(1), goodAt: time.Now(), advanceAt: time.Now(),
+		tickets: map[uint64]*ticket{}, busy: map[string]int{},
+		waiters: map[uint64]chan watch.Done{}, wake: make(chan struct{}, 1), work: pond.NewPool(1),
 	}
 	g.pool = newPool(g)
 	go func() {
@@ -163,10 +145,17 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.health == wire.PrimaryHealth_PRIMARY_HEALTH_UNKNOWN {
+	health, known := wireHealth[g.seen.Health()]
+	if !known {
 		return holding, nil
 	}
-	return holding, &wire.Observation{Group: g.name, Term: g.healthFor, Health: g.health}
+	return holding, &wire.Observation{Group: g.name, Term: g.seen.Term(), Health: health}
+}
+
+var wireHealth = map[watch.Health]wire.PrimaryHealth{
+	watch.Good:        wire.PrimaryHealth_PRIMARY_HEALTH_GOOD,
+	watch.Unreachable: wire.PrimaryHealth_PRIMARY_HEALTH_UNREACHABLE,
+	watch.Stalled:     wire.PrimaryHealth_PRIMARY_HEALTH_STALLED,
 }
 
 // admit queues a unit of work or refuses it at once.
--- a/entry/owner/read.go
+++ b/entry/owner/read.go
@@ -103,16 +103,16 @@
 	defer g.mu.Unlock()
 	var servers []route.Server
 	for _, s := range state.GetServers() {
-		r := g.replicas[s.GetSlot()]
-		if s.GetSlot() == state.GetPrimarySlot() || r == nil {
+		server, known := g.seen.Replica(s.GetSlot())
+		if s.GetSlot() == state.GetPrimarySlot() || !known {
 			continue
 		}
-		servers = append(servers, route.Server{
-			Slot: s.GetSlot(), FailureDomain: s.GetFailureDomain(), Leaving: s.GetLeaving(),
-			Replayed: r.replayed, Reported: r.reported, Lag: r.lag, Busy: r.busy,
-		})
+		server.FailureDomain = s.GetFailureDomain()
+		server.Leaving = s.GetLeaving()
+		server.Busy = g.busy[s.GetSlot()]
+		servers = append(servers, server)
 	}
-	return route.Choose(now, &g.sightings, servers, route.Request{
+	return route.Choose(now, g.seen.Sightings(), servers, route.Request{
 		Floor: floor, Term: state.GetTerm(), FailureDomain: g.owner.FailureDomain, Wait: wait,
 	})
 }
@@ -120,9 +120,7 @@
 func (g *group) setBusy(slot string, change int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r := g.replicas[slot]; r != nil {
-		r.busy += change
-	}
+	g.busy[slot] += change
 }
 
 // readFrom runs the unit on one replica once that has shown the floor on the connection used.
--- a/entry/owner/watch.go
+++ b/entry/owner/watch.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"trefoilcourse/coord/session"
+	"trefoilcourse/coord/watch"
 	"trefoilcourse/entry/backend"
 	"trefoilcourse/wire"
 )
@@ -14,13 +13,6 @@
 	idlePollInterval = 200 * time.Millisecond
 	busyPollInterval = time.Millisecond
 	pollTimeout      = 400 * time.Millisecond
-	// suspectAfter is the time without a good answer after which a primary is reported.
-	suspectAfter = time.Second
-	// stallAfter is the time without progress of replication, while it is waited for, after
-	// which a primary is reported.
-	stallAfter = 1500 * time.Millisecond
-	// lagWeight is the inverse of the weight of a new lag in the running mean.
-	lagWeight = 8
 )
 
 // watch polls the primary over a connection of its own until ctx ends.
@@ -47,18 +39,11 @@
 	}
 }
 
-// setTerm starts a term: what was found out about the primary of another does not count.
+// setTerm starts a term of the group.
 func (g *group) setTerm(term uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.healthFor == term {
-		return
-	}
-	g.healthFor = term
-	g.health = wire.PrimaryHealth_PRIMARY_HEALTH_UNKNOWN
-	g.goodAt = time.Now()
-	g.advanceAt = time.Now()
-	g.replicas = map[string]*replica{}
+	g.seen.Start(time.Now(), term)
 }
 
 // pollAll polls on one connection until it fails or the group's term changes.
@@ -83,7 +68,7 @@
 func (g *group) waited() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.waiters) > 0
+	return g.seen.Waiting() > 0
 }
 
 func (g *group) sleep(ctx context.Context, d time.Duration) {
@@ -106,94 +91,38 @@
 }
 
 // learn takes over a poll's answer and wakes the waiters it satisfies.
-func (g *group) learn(r backend.Report) {
+func (g *group) learn(r watch.Report) {
 	state := g.owner.View.Group(g.name)
 	configured, _, _ := g.owner.View.Configured(g.name)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.goodAt = time.Now()
-	g.lastPoll = r
-	g.sightings.Record(r.Asked, r.Position)
-	for _, f := range r.Replicas {
-		g.learnReplica(r.Asked, f)
-	}
-	majority := majorityOf(r, state, len(configured.Slots))
-	if g.majority.Less(majority) || !majority.Less(r.Position) {
-		g.advanceAt = time.Now()
-	}
-	g.majority = g.majority.Max(majority)
-	for w := range g.waiters {
-		if w.learn(r, g.majority) {
-			delete(g.waiters, w)
-		}
-	}
-	close(g.progress)
-	g.progress = make(chan struct{})
-}
-
-// majorityOf returns the highest position that a majority of the slots has synced; only servers
-// whose data is known to be that of their slot count.
-func majorityOf(r backend.Report, state *wire.GroupState, slots int) session.Position {
-	offsets := []uint64{r.Position.Offset}
-	for _, f := range r.Replicas {
-		s := serverOf(state, f.Slot)
-		if s.GetAdmitted() && s.GetIncarnation() == f.Incarnation && f.Slot != state.GetPrimarySlot() {
-			offsets = append(offsets, f.Flushed)
+	counted := watch.Group{Slots: len(configured.Slots), Primary: state.GetPrimarySlot(), Admitted: map[string]string{}}
+	for _, s := range state.GetServers() {
+		if s.GetAdmitted() {
+			counted.Admitted[s.GetSlot()] = s.GetIncarnation()
 		}
 	}
-	needed := slots/2 + 1
-	if len(offsets) < needed {
-		return session.Position{}
-	}
-	slices.Sort(offsets)
-	return session.Position{Term: r.Position.Term, Offset: offsets[len(offsets)-needed]}
-}
-
-func (g *group) learnReplica(asked time.Time, f backend.Replica) {
-	known := g.replicas[f.Slot]
-	if known == nil {
-		known = &replica{}
-		g.replicas[f.Slot] = known
-	}
-	known.replayed = f.Replayed
-	known.reported = asked
-	if age, ok := g.sightings.Age(asked, f.Replayed); ok {
-		known.lag += (age - known.lag) / lagWeight
-	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wakeDone(g.seen.Learn(time.Now(), r, counted))
 }
 
 // judge decides what to report about the primary. A primary that is reported gets no more
 // acknowledgements from this VM, so that its successor need not wait for the lease.
 func (g *group) judge(now time.Time, term uint64) {
 	g.mu.Lock()
-	before := g.health
-	g.health = g.healthAt(now)
-	after := g.health
+	health, changed := g.seen.Judge(now)
 	g.mu.Unlock()
-	if before == after {
+	if !changed {
 		return
 	}
-	if after == wire.PrimaryHealth_PRIMARY_HEALTH_GOOD {
+	if health == watch.Good {
 		g.owner.View.Restore(g.name)
 	} else {
 		g.owner.View.Release(g.name, term)
 	}
-	g.owner.Log.WithFields(map[string]any{"group": g.name, "term": term, "health": after.String()}).Info("primary's health changes")
+	g.owner.Log.WithFields(map[string]any{"group": g.name, "term": term, "health": health.String()}).Info("primary's health changes")
 	g.owner.Poke()
 }
 
-func (g *group) healthAt(now time.Time) wire.PrimaryHealth {
-	switch {
-	case now.Sub(g.goodAt) > suspectAfter:
-		return wire.PrimaryHealth_PRIMARY_HEALTH_UNREACHABLE
-	case len(g.waiters) > 0 && now.Sub(g.advanceAt) > stallAfter:
-		return wire.PrimaryHealth_PRIMARY_HEALTH_STALLED
-	case now.Sub(g.goodAt) > pollTimeout:
-		return g.health
-	}
-	return wire.PrimaryHealth_PRIMARY_HEALTH_GOOD
-}
-
 func serverOf(state *wire.GroupState, slot string) *wire.Server {
 	for _, s := range state.GetServers() {
 		if s.GetSlot() == slot {
