--- /dev/null
+++ b/coord/config/config_test.go
@@ -0,0 +1,74 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/coord/config"
+)
+
+const good = `{
+  // the workshop's ledger
+  "database-group": {"ledger-1": {"slots": ["a", "b", "c"], "connections": 45}},
+  "read-policy": {"fresh": {"replicas": true, "staleness-allowance": "half-second"}},
+  "staleness-allowance": {"half-second": {"milliseconds": 500}},
+  "service": {"ledger": {"groups": ["ledger-1"], "read-policy": "fresh"}},
+}`
+
+func check(text string) []config.Fault {
+	parsed, faults := config.Parse("all.hujson", []byte(text))
+	_, more := config.Check(parsed)
+	return append(faults, more...)
+}
+
+func TestGoodSet(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(check(good)), 0)
+}
+
+// TestFaults changes the good set in one place each; the fault must name the line and object.
+func TestFaults(t *testing.T) {
+	cases := []struct{ old, new, want string }{
+		{`"read-policy": "fresh"`, `"read-policy": "fersh"`, `all.hujson:6:15: service/ledger: read-policy "fersh" does not exist`},
+		{`"connections": 45`, `"connections": 2`, `all.hujson:3:22: database-group/ledger-1: connections is 2`},
+		{`"connections": 45`, `"conections": 45`, `field "conections" does not exist`},
+		{`"connections": 45`, `"connections": "many"`, `field "connections" is a string where a int is expected`},
+		{`["a", "b", "c"]`, `["a", "b"]`, `2 slots are listed`},
+		{`["a", "b", "c"]`, `["a", "b", "b"]`, `slot "b" is listed twice`},
+		{`"replicas": true`, `"replicas": false`, `a staleness-allowance without replicas has no effect`},
+		{`"milliseconds": 500`, `"milliseconds": -1`, `milliseconds is -1`},
+		{`"groups": ["ledger-1"]`, `"groups": []`, `the service has no group`},
+		{`"service": {`, `"servise": {`, `kind "servise" does not exist`},
+		{`"ledger-1": {"slots"`, `"Ledger_1": {"slots"`, `the name is not in kebab case`},
+		{`"replicas": true,`, `"replicas": true`, `all.hujson:4:`},
+	}
+	for _, c := range cases {
+		t.Run(c.new, func(t *testing.T) {
+			is := is.New(t)
+			faults := check(strings.Replace(good, c.old, c.new, 1))
+			text := ""
+			for _, f := range faults {
+				text += f.String() + "\n"
+			}
+			if !strings.Contains(text, c.want) {
+				t.Fatalf("want %q in:\n%s", c.want, text)
+			}
+			is.True(len(faults) > 0)
+		})
+	}
+}
+
+func TestAllFaultsInOneGo(t *testing.T) {
+	is := is.New(t)
+	bad := strings.Replace(good, `"connections": 45`, `"connections": 2`, 1)
+	bad = strings.Replace(bad, `"read-policy": "fresh"`, `"read-policy": "fersh"`, 1)
+	is.Equal(len(check(bad)), 2)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add(`{"service": 1, "read-policy": {"": null}}`)
+	f.Fuzz(func(_ *testing.T, text string) { check(text) })
+}
--- a/coord/route/choose.go
+++ b/coord/route/choose.go
@@ -53,8 +53,12 @@
 	cost time.Duration
 }
 
-// Choose ranks the replicas that can serve a read, best first; none means the primary.
+// Choose ranks the replicas that can serve a read, best first; none means the primary. A floor
+// of a later term than the group is known to be in is one that no replica is known to reach.
 func Choose(now time.Time, seen *Sightings, servers []Server, r Request) []Choice {
+	if r.Term < r.Floor.Term {
+		return nil
+	}
 	var choices []Choice
 	for _, s := range servers {
 		if s.Leaving || s.Replayed.Term != r.Term || now.Sub(s.Reported) > reportLife {
--- /dev/null
+++ b/coord/route/route_test.go
@@ -0,0 +1,87 @@
+package route_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"trefoilcourse/coord/route"
+	"trefoilcourse/coord/session"
+)
+
+// TestMain fixes the seed of the properties, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func pos(offset uint64) session.Position { return session.Position{Term: 2, Offset: offset} }
+
+// TestFloorIsABound compares with the whole history: whatever was committed before a time is
+// at or below the floor of that time, however much of the history was thinned out.
+func TestFloorIsABound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s route.Sightings
+		committed := []uint64{0}
+		for ms := 1; ms < rapid.IntRange(10, 3000).Draw(t, "length"); ms++ {
+			committed = append(committed, committed[ms-1]+uint64(rapid.IntRange(0, 3).Draw(t, "commits")))
+			if rapid.IntRange(0, 2).Draw(t, "poll") == 0 {
+				s.Record(at(ms), pos(committed[ms]))
+			}
+		}
+		for range 20 {
+			ms := rapid.IntRange(0, len(committed)-1).Draw(t, "at")
+			floor, ok := s.FloorAt(at(ms))
+			if ok && floor.Offset < committed[ms] {
+				t.Fatalf("the floor at %d ms is %d; %d was committed", ms, floor.Offset, committed[ms])
+			}
+			age, ok := s.Age(at(len(committed)), pos(committed[ms]))
+			if !ok {
+				continue
+			}
+			proven := len(committed) - int(age/time.Millisecond)
+			if proven < len(committed) && committed[proven] > committed[ms] {
+				t.Fatalf("a replica at %d is said to be %v old, but %d was committed by then", committed[ms], age, committed[proven])
+			}
+		}
+	})
+}
+
+func TestChoose(t *testing.T) {
+	is := is.New(t)
+	var s route.Sightings
+	s.Record(at(0), pos(100))
+	s.Record(at(90), pos(200))
+	servers := []route.Server{
+		{Slot: "near", FailureDomain: "d1", Replayed: pos(200), Reported: at(95)},
+		{Slot: "far", FailureDomain: "d2", Replayed: pos(200), Reported: at(95)},
+		{Slot: "leaving", FailureDomain: "d1", Replayed: pos(200), Reported: at(95), Leaving: true},
+		{Slot: "behind", FailureDomain: "d1", Replayed: pos(100), Reported: at(95), Lag: 25 * time.Millisecond},
+		{Slot: "far-behind", FailureDomain: "d1", Replayed: pos(10), Reported: at(95), Lag: time.Second},
+		{Slot: "unheard", FailureDomain: "d1", Replayed: pos(200), Reported: at(-5000)},
+		{Slot: "other-term", FailureDomain: "d1", Replayed: session.Position{Term: 1, Offset: 900}, Reported: at(95)},
+	}
+	names := func(choices []route.Choice) (slots []string) {
+		for _, c := range choices {
+			slots = append(slots, c.Slot)
+		}
+		return slots
+	}
+	request := route.Request{Floor: pos(200), Term: 2, FailureDomain: "d1", Wait: 20 * time.Millisecond}
+	is.Equal(names(route.Choose(at(100), &s, servers, request)), []string{"near", "far", "behind"})
+	servers[0].Busy = 40
+	is.Equal(names(route.Choose(at(100), &s, servers, request))[0], "far") // load outweighs distance
+	request.Floor = session.Position{Term: 3}
+	is.Equal(len(route.Choose(at(100), &s, servers, request)), 0) // only the primary has that
+}
--- /dev/null
+++ b/coord/state/state_test.go
@@ -0,0 +1,115 @@
+package state_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"trefoilcourse/coord/state"
+	"trefoilcourse/wire"
+)
+
+// TestMain fixes the seed of the properties, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+func publish(m *state.Machine, id string, base uint64, bodies map[string]string) *wire.PublishResult {
+	p := &wire.PublishRequest{Id: id, BaseVersion: base, Author: id + "'s author"}
+	for name, body := range bodies {
+		p.Objects = append(p.Objects, &wire.Object{Kind: "read-policy", Name: name, Body: []byte(body)})
+	}
+	data, err := proto.Marshal(&wire.Command{Publish: p})
+	if err != nil {
+		panic(err)
+	}
+	result, err := m.Apply(data)
+	if err != nil {
+		panic(err)
+	}
+	return result
+}
+
+func TestRaceAndResend(t *testing.T) {
+	is := is.New(t)
+	m := state.New()
+	first := publish(m, "a", 0, map[string]string{"x": "1"})
+	second := publish(m, "b", 0, map[string]string{"x": "2"})
+	is.True(first.GetAccepted())
+	is.True(!second.GetAccepted())
+	is.Equal(second.GetWinnerId(), "a")
+	again := publish(m, "a", 0, map[string]string{"x": "1"})
+	is.True(again.GetAccepted())
+	is.Equal(again.GetVersion(), uint64(1))
+	is.Equal(m.Version(), uint64(1))
+}
+
+// TestDeltas compares holders that take deltas with the whole configuration: at whatever
+// version they ask, through whatever snapshots the machine goes, they end up equal.
+func TestDeltas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := state.New()
+		type holder struct {
+			version uint64
+			objects map[string]string
+		}
+		holders := []*holder{{objects: map[string]string{}}, {objects: map[string]string{}}, {objects: map[string]string{}}}
+		for i := range rapid.IntRange(1, 30).Draw(t, "publishes") {
+			bodies := map[string]string{}
+			for range rapid.IntRange(0, 6).Draw(t, "objects") {
+				bodies[fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "name"))] = fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "body"))
+			}
+			publish(m, fmt.Sprint(i), m.Version(), bodies)
+			if rapid.Bool().Draw(t, "restart") {
+				again := state.New()
+				if err := again.Restore(m.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+				m = again
+			}
+			for k, h := range holders {
+				if rapid.IntRange(0, 3).Draw(t, "asks") > 0 {
+					continue
+				}
+				objects, whole := m.Since(h.version)
+				if whole {
+					h.objects = map[string]string{}
+				}
+				for _, o := range objects {
+					if o.GetDeleted() {
+						delete(h.objects, o.GetName())
+					} else {
+						h.objects[o.GetName()] = string(o.GetBody())
+					}
+				}
+				h.version = m.Version()
+				if fmt.Sprint(h.objects) != fmt.Sprint(bodies) {
+					t.Fatalf("holder %d has %v at version %d; published is %v", k, h.objects, h.version, bodies)
+				}
+			}
+		}
+	})
+}
+
+func TestEarlierTermChangesNothing(t *testing.T) {
+	is := is.New(t)
+	m := state.New()
+	apply := func(term uint64, slot string) {
+		data, err := proto.Marshal(&wire.Command{Primary: &wire.Primary{Group: "g", Term: term, Slot: slot}})
+		is.NoErr(err)
+		_, err = m.Apply(data)
+		is.NoErr(err)
+	}
+	apply(4, "b")
+	apply(3, "a")
+	is.Equal(m.Primary("g").GetSlot(), "b")
+}
