coord/leader: look only at groups with which something happens

Cause: measured with 570 VMs and 880 databases, a renewal cost 534 us, since each looked at all VMs and servers, and a tick 7.8 ms, since each looked at all groups: about a whole core for the leader.

--- a/control/server.go
+++ b/control/server.go
@@ -38,8 +38,9 @@
 	// Log receives changes of state; nil means the standard logger.
 	Log logrus.FieldLogger
 
-	once    sync.Once
-	calls   chan func(now time.Time)
+	once  sync.Once
+	calls chan func(now time.Time)
+	// ended is closed when the loop has ended and takes no more calls.
 	ended   chan struct{}
 	traffic protorpc.Traffic
 	metrics *metrics
@@ -75,7 +76,6 @@
 // Run serves until ctx ends or the data folder fails; the latter is returned as an error.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
-	defer close(s.ended)
 	if err := s.Settings.Check(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -127,6 +127,7 @@
 	joining := make(chan error, 1)
 	go func() { joining <- s.join(ctx) }()
 	err := s.loop(ctx)
+	close(s.ended)
 	cancel()
 	_ = listener.Close()
 	<-accepting
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -7,7 +7,6 @@
 
 	"trefoilcourse/coord/config"
 	"trefoilcourse/coord/lease"
-	"trefoilcourse/coord/place"
 	"trefoilcourse/coord/promote"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/coord/state"
@@ -40,17 +39,19 @@
 	// Owners is the number of entry VMs that own a group; 0 means DefaultOwners.
 	Owners int
 
-	term    uint64
-	started time.Time
-	table   lease.Table
-	set     *config.Set
-	version uint64
-	members map[string]*member
+	term     uint64
+	started  time.Time
+	table    lease.Table
+	set      *config.Set
+	version  uint64
+	recorded uint64
+	names    []string
+	stale    bool
+	members  map[string]*member
 	// departed VMs fell silent and may still work by what they last confirmed.
 	departed  map[string]*member
 	groups    map[string]*group
 	directory directory
-	ownership string
 }
 
 type member struct {
@@ -67,6 +68,9 @@
 	machine *promote.Group
 	servers map[string]*server
 	owners  []string
+	// due is when the group is looked at if nothing happens before; dirty is that something did.
+	due   time.Time
+	dirty bool
 }
 
 type server struct {
@@ -89,7 +93,6 @@
 	l.departed = map[string]*member{}
 	l.groups = map[string]*group{}
 	l.directory = newDirectory(term)
-	l.ownership = ""
 	l.configure(now)
 }
 
@@ -109,6 +112,7 @@
 			l.groups[name].machine.Lead(now, primaryOf(l.State, name))
 		}
 		l.groups[name].machine.Slots = g.Slots
+		l.groups[name].dirty = true
 		l.publish(name, l.groups[name])
 	}
 	for name := range l.groups {
@@ -118,7 +122,8 @@
 			l.directory.dropGroup(name)
 		}
 	}
-	l.ownership = ""
+	l.names = slices.Sorted(maps.Keys(l.groups))
+	l.stale = true
 }
 
 func decode(objects []*wire.Object) *config.Set {
@@ -159,7 +164,6 @@
 		l.announce(now, a)
 	}
 	l.observe(now, r)
-	l.settle(now)
 	response := &wire.RenewResponse{
 		Accepted: true, ControlTerm: l.term,
 		LeaseMilliseconds:    uint32(l.table.Duration.Milliseconds()),
@@ -173,36 +177,12 @@
 	return response
 }
 
-// member finds or makes the record of the asking VM; nil means that the message is older than
-// one already answered.
-func (l *Leader) member(now time.Time, r *wire.RenewRequest) *member {
-	m := l.members[r.GetVm()]
-	if m != nil && m.life == r.GetIncarnation() && r.GetSequence() <= m.sequence {
-		return nil
-	}
-	if m == nil || m.life != r.GetIncarnation() {
-		m = &member{life: r.GetIncarnation(), joined: now}
-		if l.table.Adopting(now) {
-			m.joined = now.Add(-joinDelay)
-		}
-		l.members[r.GetVm()] = m
-	}
-	m.sequence = r.GetSequence()
-	m.renewed = now
-	m.version = r.GetConfigurationVersion()
-	m.wire = &wire.Member{
-		Vm: r.GetVm(), FailureDomain: r.GetFailureDomain(),
-		LinkAddress: r.GetLinkAddress(), Draining: r.GetDraining(),
-	}
-	l.directory.putMember(m.wire)
-	return m
-}
-
 func (l *Leader) announce(now time.Time, a *wire.Announcement) {
 	g := l.groups[a.GetGroup()]
 	if g == nil || !slices.Contains(g.machine.Slots, a.GetSlot()) {
 		return
 	}
+	g.dirty = g.dirty || news(g.servers[a.GetSlot()], a)
 	g.servers[a.GetSlot()] = &server{announcement: a, heard: now}
 	g.machine.Announce(promote.Status{
 		Slot: a.GetSlot(), Incarnation: a.GetIncarnation(), Primary: a.GetPrimary(), Term: a.GetTerm(),
@@ -210,6 +190,17 @@
 	})
 }
 
+// news reports whether an announcement tells anything but a new position.
+func news(old *server, a *wire.Announcement) bool {
+	if old == nil {
+		return true
+	}
+	o := old.announcement
+	return o.GetIncarnation() != a.GetIncarnation() || o.GetAddress() != a.GetAddress() ||
+		o.GetFailureDomain() != a.GetFailureDomain() || o.GetPrimary() != a.GetPrimary() ||
+		o.GetTerm() != a.GetTerm() || o.GetLeaving() != a.GetLeaving()
+}
+
 func (l *Leader) observe(now time.Time, r *wire.RenewRequest) {
 	for _, o := range r.GetObservations() {
 		g := l.groups[o.GetGroup()]
@@ -223,6 +214,7 @@
 		case wire.PrimaryHealth_PRIMARY_HEALTH_STALLED:
 			health = promote.Stalled
 		}
+		g.dirty = g.dirty || health != promote.Good
 		g.machine.Observe(now, promote.Observation{
 			VM: r.GetVm(), FailureDomain: r.GetFailureDomain(), Term: o.GetTerm(), Health: health,
 		})
@@ -252,111 +244,11 @@
 	return grants
 }
 
-// Tick lets time pass and returns what is to be done to backend servers and the log.
-func (l *Leader) Tick(now time.Time) []Action {
-	l.configure(now)
-	l.settle(now)
-	var actions []Action
-	for _, name := range slices.Sorted(maps.Keys(l.groups)) {
-		g := l.groups[name]
-		if recorded := primaryOf(l.State, name); recorded.Term > 0 {
-			g.machine.Recorded(now, recorded)
-		}
-		fenced := l.table.Fenced(now, name, g.machine.Primary().Term)
-		for _, a := range g.machine.Tick(now, fenced) {
-			actions = append(actions, Action{Group: name, Action: a})
-		}
-		l.publish(name, g)
-	}
-	return actions
-}
-
-// settle drops what has fallen silent and gives groups to owners.
-func (l *Leader) settle(now time.Time) {
-	for vm, m := range l.members {
-		if now.Sub(m.renewed) > memberLife && !l.table.Adopting(now) {
-			delete(l.members, vm)
-			l.departed[vm] = m
-			l.directory.dropMember(vm)
-		}
-	}
-	for _, g := range l.groups {
-		for slot, s := range g.servers {
-			if now.Sub(s.heard) > serverLife {
-				delete(g.servers, slot)
-			}
-		}
-	}
-	l.assign(now)
-}
-
-// assign recomputes the owners when the VMs that can own have changed.
-func (l *Leader) assign(now time.Time) {
-	var able []place.Member
-	for _, vm := range slices.Sorted(maps.Keys(l.members)) {
-		m := l.members[vm]
-		if !m.wire.GetDraining() && now.Sub(m.joined) >= joinDelay {
-			able = append(able, place.Member{VM: vm, FailureDomain: m.wire.GetFailureDomain()})
-		}
-	}
-	ownership := fingerprint(l.version, able)
-	if ownership == l.ownership || l.table.Adopting(now) {
-		return
-	}
-	l.ownership = ownership
-	for _, m := range l.members {
-		m.owned = nil
-	}
-	for name, g := range l.groups {
-		g.owners = place.Owners(name, able, l.Owners)
-		domains := map[string]string{}
-		for _, vm := range g.owners {
-			l.members[vm].owned = append(l.members[vm].owned, name)
-			domains[vm] = l.members[vm].wire.GetFailureDomain()
-		}
-		g.machine.SetOwners(domains)
-		l.publish(name, g)
-	}
-}
-
-func fingerprint(version uint64, able []place.Member) string {
-	data := []byte{byte(version), byte(version >> 8), byte(version >> 16), byte(version >> 24)}
-	for _, m := range able {
-		data = append(data, m.VM...)
-		data = append(data, 0)
-		data = append(data, m.FailureDomain...)
-		data = append(data, 0)
-	}
-	return string(data)
-}
-
-// publish brings a group's lease terms and directory entry up to date.
-func (l *Leader) publish(name string, g *group) {
-	primary := g.machine.Primary()
-	limit := l.set.Groups[name].Connections - len(g.machine.Slots)*controlConnections
-	l.table.Set(name, lease.Group{
-		Term: g.machine.AckTerm(), Closing: g.machine.Closing(), Limit: limit, Owners: g.owners,
-	})
-	entry := &wire.GroupState{Group: name, Term: primary.Term, PrimarySlot: primary.Slot, Owners: g.owners}
-	for _, slot := range g.machine.Slots {
-		s := g.servers[slot]
-		if s == nil {
-			continue
-		}
-		a := s.announcement
-		entry.Servers = append(entry.Servers, &wire.Server{
-			Slot: slot, Incarnation: a.GetIncarnation(), Address: a.GetAddress(),
-			FailureDomain: a.GetFailureDomain(), Leaving: a.GetLeaving(),
-			Admitted: primary.Incarnations[slot] == a.GetIncarnation(),
-		})
-	}
-	l.directory.putGroup(entry)
-}
-
 // Answer takes note of a server's own status.
 func (l *Leader) Answer(name string, s promote.Status) {
 	if g := l.groups[name]; g != nil {
 		g.machine.Answer(s)
+		g.dirty = true
 	}
 }
 
@@ -384,26 +276,6 @@
 	if g == nil {
 		return unknownGroupError(name)
 	}
+	g.dirty = true
 	return g.machine.Force(now, slot, acceptLoss)
 }
-
-// InForce reports whether every entry VM that may take work has confirmed a configuration
-// version; it is never true before an earlier leader's VMs are known or have stopped.
-func (l *Leader) InForce(now time.Time, version uint64, confirmWithin time.Duration) bool {
-	if version > l.version || now.Sub(l.started) < confirmWithin {
-		return false
-	}
-	for vm, m := range l.departed {
-		if now.Sub(m.renewed) > confirmWithin {
-			delete(l.departed, vm)
-		} else if m.version < version {
-			return false
-		}
-	}
-	for _, m := range l.members {
-		if m.version < version {
-			return false
-		}
-	}
-	return true
-}
--- a/coord/leader/world_test.go
+++ b/coord/leader/world_test.go
@@ -85,25 +85,24 @@
 
 // world drives everything in virtual time.
 type world struct {
-	now      time.Time
-	began    time.Time
-	random   *rand.Rand
-	machine  *state.Machine
-	leader   *leader.Leader
-	term     uint64
-	leadFrom time.Time
-	leading  bool
-	servers  map[string]*server
-	slots    []string
-	owners   []*owner
-	events   []event
-	cut      map[[2]string]bool
-	loss     float64
-	lastID   int
-	acked    map[int]session.Position
-	ackedAt  map[int]time.Time
-	faults   []string
-	lastAck  time.Time
+	now     time.Time
+	began   time.Time
+	random  *rand.Rand
+	machine *state.Machine
+	leader  *leader.Leader
+	term    uint64
+	leading bool
+	servers map[string]*server
+	slots   []string
+	owners  []*owner
+	events  []event
+	cut     map[[2]string]bool
+	loss    float64
+	lastID  int
+	acked   map[int]session.Position
+	ackedAt map[int]time.Time
+	faults  []string
+	lastAck time.Time
 }
 
 func newWorld(seed uint64) *world {
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -1,8 +1,6 @@
 package place
 
 import (
-	"cmp"
-	"hash/fnv"
 	"slices"
 )
 
@@ -20,43 +18,74 @@
 // Owners returns up to count VMs for a group, best first, no two in one failure domain while
 // there is a domain without one.
 func Owners(group string, members []Member, count int) []string {
-	ranked := rank(group, members)
+	candidates := make([]scored, len(members))
+	for i, m := range members {
+		candidates[i] = scored{m, score(group, m.VM)}
+	}
 	var owners []string
 	used := map[string]bool{}
-	for _, s := range ranked {
-		if len(owners) < count && !used[s.member.FailureDomain] {
-			used[s.member.FailureDomain] = true
-			owners = append(owners, s.member.VM)
+	for len(owners) < count {
+		best := -1
+		for i := range candidates {
+			if !used[candidates[i].member.FailureDomain] && better(candidates, i, best) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
 		}
+		owners = append(owners, candidates[best].member.VM)
+		used[candidates[best].member.FailureDomain] = true
 	}
-	for _, s := range ranked {
-		if len(owners) < count && !slices.Contains(owners, s.member.VM) {
-			owners = append(owners, s.member.VM)
+	return fill(owners, candidates, count)
+}
+
+// fill adds the best of the candidates that are not owners yet, whatever their domains.
+func fill(owners []string, candidates []scored, count int) []string {
+	for len(owners) < count {
+		best := -1
+		for i := range candidates {
+			if better(candidates, i, best) && !slices.Contains(owners, candidates[i].member.VM) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
 		}
+		owners = append(owners, candidates[best].member.VM)
 	}
 	return owners
 }
 
-func rank(group string, members []Member) []scored {
-	ranked := make([]scored, 0, len(members))
-	for _, m := range members {
-		ranked = append(ranked, scored{m, score(group, m.VM)})
+// better reports whether candidate i goes before candidate best; best may be -1 for none.
+func better(candidates []scored, i, best int) bool {
+	if best < 0 {
+		return true
 	}
-	slices.SortFunc(ranked, func(a, b scored) int {
-		if a.score != b.score {
-			return cmp.Compare(b.score, a.score)
-		}
-		return cmp.Compare(a.member.VM, b.member.VM)
-	})
-	return ranked
+	a, b := candidates[i], candidates[best]
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	return a.member.VM < b.member.VM
 }
 
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// score is the FNV-1a sum of both names, mixed; it is written out to spare two allocations for
+// each of half a million pairs.
 func score(group, vm string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(group))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(vm))
-	return mix(h.Sum64())
+	sum := uint64(fnvOffset)
+	for i := range len(group) {
+		sum = (sum ^ uint64(group[i])) * fnvPrime
+	}
+	sum *= fnvPrime
+	for i := range len(vm) {
+		sum = (sum ^ uint64(vm[i])) * fnvPrime
+	}
+	return mix(sum)
 }
 
 // mix spreads the bits of an FNV sum, whose last input bytes change few of them.
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -1,8 +1,10 @@
 package place_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"os"
 	"slices"
 	"testing"
@@ -47,6 +49,44 @@
 	})
 }
 
+// naive sorts all VMs, by a hash library's sum, and takes them in order, domains first.
+func naive(group string, all []place.Member, count int) []string {
+	ranked := slices.Clone(all)
+	score := func(vm string) uint64 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(group + "\x00" + vm))
+		x := h.Sum64()
+		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		x = (x ^ x>>27) * 0x94d049bb133111eb
+		return x ^ x>>31
+	}
+	slices.SortFunc(ranked, func(a, b place.Member) int { return cmp.Compare(score(b.VM), score(a.VM)) })
+	var owners []string
+	used := map[string]bool{}
+	for round := range 2 {
+		for _, m := range ranked {
+			taken := slices.Contains(owners, m.VM) || round == 0 && used[m.FailureDomain]
+			if len(owners) < count && !taken {
+				owners = append(owners, m.VM)
+				used[m.FailureDomain] = true
+			}
+		}
+	}
+	return owners
+}
+
+func TestAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(rapid.IntRange(0, 30).Draw(t, "vms"), rapid.IntRange(1, 7).Draw(t, "domains"))
+		count := rapid.IntRange(1, 5).Draw(t, "count")
+		group := rapid.StringMatching(`[a-z0-9-]{1,12}`).Draw(t, "group")
+		got, want := place.Owners(group, all, count), naive(group, all, count)
+		if !slices.Equal(got, want) {
+			t.Fatalf("owners are %v; sorting gives %v", got, want)
+		}
+	})
+}
+
 // TestDomains: owners share a failure domain only when there are too few.
 func TestDomains(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/coord/state/machine.go
+++ b/coord/state/machine.go
@@ -25,6 +25,7 @@
 	results     []*wire.PublishResult
 	history     []*wire.HistoryEntry
 	primaries   map[string]*wire.Primary
+	recorded    uint64
 	oldestDelta uint64
 }
 
@@ -36,6 +37,9 @@
 // Version returns the configuration version, 0 before the first publish.
 func (m *Machine) Version() uint64 { return m.version }
 
+// Recorded counts the changes of primaries, so that a reader sees whether there were any.
+func (m *Machine) Recorded() uint64 { return m.recorded }
+
 // Primary returns the recorded primary of a group, or nil.
 func (m *Machine) Primary(group string) *wire.Primary { return m.primaries[group] }
 
@@ -61,6 +65,7 @@
 func (m *Machine) applyPrimary(p *wire.Primary) {
 	if p.GetTerm() >= m.primaries[p.GetGroup()].GetTerm() {
 		m.primaries[p.GetGroup()] = p
+		m.recorded++
 	}
 }
 
@@ -212,7 +217,9 @@
 	if err := proto.Unmarshal(data, s); err != nil {
 		return fmt.Errorf("snapshot of the control state does not decode: %w", err)
 	}
+	recorded := m.recorded
 	*m = *New()
+	m.recorded = recorded + 1
 	m.version = s.GetVersion()
 	m.results = s.GetResults()
 	m.history = s.GetHistory()
--- a/trefoil/internal/rig/rig.go
+++ b/trefoil/internal/rig/rig.go
@@ -22,6 +22,7 @@
 	"trefoilcourse/standin"
 	operator "trefoilcourse/trefoil/internal/control"
 	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
 )
 
 // Plan says what a rig consists of.
@@ -36,6 +37,8 @@
 	Delay func(from, to string) time.Duration
 	// Owners is the number of entry VMs that own a group; 0 means the daemon's own choice.
 	Owners int
+	// Plain leaves out the network's delays and cuts, which cost processor time.
+	Plain bool
 	// Folder holds the control VMs' data folders.
 	Folder string
 	// Log receives the daemons' lines; nil discards them.
@@ -183,7 +186,7 @@
 			DataFolder: r.DataFolder(i), Peers: peers,
 		},
 		Listener: listener, Log: r.plan.Log, Owners: r.plan.Owners,
-		Dialer: &Dialer{Network: &r.Network, From: r.ControlPlace(i)},
+		Dialer: r.dialer(r.ControlPlace(i)),
 	}
 	p := &process{cancel: cancel, ended: make(chan error, 1), domain: r.domain(i)}
 	go func() { p.ended <- server.Run(ctx) }()
@@ -193,6 +196,13 @@
 	return nil
 }
 
+func (r *Rig) dialer(place string) protorpc.Dialer {
+	if r.plan.Plain {
+		return &net.Dialer{}
+	}
+	return &Dialer{Network: &r.Network, From: place}
+}
+
 // StopControl stops a control VM.
 func (r *Rig) StopControl(i int) { r.stop(r.controls, r.controlName(i)) }
 
@@ -221,7 +231,7 @@
 		r.Network.Place(l.Addr().String(), place)
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	dialer := &Dialer{Network: &r.Network, From: place}
+	dialer := r.dialer(place)
 	server := &entry.Server{
 		Settings: entry.Settings{
 			VM: name, FailureDomain: r.domain(i), Control: r.ControlAddresses(),
