--- a/control/orders.go
+++ b/control/orders.go
@@ -118,7 +118,12 @@
 // operator carries out an operator's request.
 func (s *Server) operator(now time.Time, r *wire.OperatorRequest) *wire.OperatorResponse {
 	answer := &wire.OperatorResponse{Leading: true}
-	err := s.leader.Force(now, r.GetPromoteGroup(), r.GetPromoteSlot(), r.GetAcceptLoss())
+	var err error
+	if r.GetDrainVm() != "" {
+		err = s.leader.Drain(r.GetDrainVm())
+	} else {
+		err = s.leader.Force(now, r.GetPromoteGroup(), r.GetPromoteSlot(), r.GetAcceptLoss())
+	}
 	if err != nil {
 		answer.Reason = err.Error()
 		return answer
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -62,6 +63,8 @@
 	renewed  time.Time
 	version  uint64
 	owned    []string
+	// drain asks the VM to drain, as an operator ordered.
+	drain bool
 }
 
 type group struct {
@@ -174,6 +177,7 @@
 		l.directory.since(r, response)
 	}
 	response.Grants = l.grants(now, m, r)
+	response.Drain = m.drain
 	return response
 }
 
@@ -269,6 +273,16 @@
 	return promote.Primary{}
 }
 
+// Drain asks an entry VM to drain; the next renewal's answer tells it.
+func (l *Leader) Drain(vm string) error {
+	m := l.members[vm]
+	if m == nil {
+		return fmt.Errorf("entry VM %q is not up", vm)
+	}
+	m.drain = true
+	return nil
+}
+
 // Force starts a change of primary on an operator's word.
 func (l *Leader) Force(now time.Time, name, slot string, acceptLoss bool) error {
 	l.configure(now)
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -42,6 +42,8 @@
 	View *view.View
 	// Reporter is asked before each renewal.
 	Reporter Reporter
+	// Drain is called when the control leader asks this VM to drain; it must not block.
+	Drain func()
 	// Traffic counts the bytes.
 	Traffic *protorpc.Traffic
 
@@ -160,6 +162,9 @@
 		return true
 	}
 	c.forget(sent)
+	if response.GetDrain() {
+		c.Drain()
+	}
 	return urgent
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,8 @@
 	draining atomic.Bool
 	ended    chan error
 	started  int
+	// ordered is closed when an operator has this VM drained.
+	ordered chan struct{}
 }
 
 // Metrics returns the counters as one expvar variable.
@@ -115,6 +118,8 @@
 	select {
 	case <-ctx.Done():
 		s.drain(server)
+	case <-s.ordered:
+		s.drain(server)
 	case err = <-s.ended:
 		s.started--
 	}
@@ -162,6 +167,8 @@
 		LinkAddress: s.linkAddress(), Addresses: s.Settings.Control, Dialer: s.ControlDialer,
 		View: s.view, Traffic: &s.traffic,
 	}
+	s.ordered = make(chan struct{})
+	s.client.Drain = sync.OnceFunc(func() { close(s.ordered) })
 	s.client.Prepare()
 	s.owner = &owner.Owner{
 		VM: s.Settings.VM, FailureDomain: s.Settings.FailureDomain, View: s.view,
--- a/trefoil/root.go
+++ b/trefoil/root.go
@@ -41,6 +41,9 @@
 Exit statuses: 0 all is well, 1 a promise was broken or a check failed, 2 wrong use,
 3 a publish or an order was refused, 4 no control VM answered.`,
 	}
-	root.AddCommand(newDemo(), newMeasure(), newCapacity())
+	root.AddCommand(
+		newCheck(), newPublish(), newShow(), newDiff(), newHistory(), newStatus(), newExplain(),
+		newPromote(), newDrain(), newDemo(), newMeasure(), newCapacity(),
+	)
 	return root
 }
