entry/owner: wait for replicas longer, and from a lower floor

Change: their floor is what any owner can have acknowledged, which the poll's majority shows if no slot is missing; the caller's VM is told it; reads wait up to 50 ms unless the policy says otherwise. The chaos property now asks such floors too; without the rule about missing slots it fails.

--- a/coord/leader/chaos_test.go
+++ b/coord/leader/chaos_test.go
@@ -35,6 +35,7 @@
 			for range rapid.IntRange(1, 10).Draw(t, "writes") {
 				for _, o := range w.owners {
 					w.write(o)
+					w.ask(o)
 				}
 				w.run(50 * time.Millisecond)
 			}
@@ -129,7 +130,7 @@
 }
 
 func (w *world) restart(o *owner) {
-	fresh := &owner{vm: o.vm, domain: o.domain, up: true, rate: o.rate, life: o.life + 1, writes: map[uint64]*write{}}
+	fresh := &owner{vm: o.vm, domain: o.domain, up: true, rate: o.rate, life: o.life + 1, writes: map[uint64]*write{}, floors: map[uint64]time.Time{}}
 	*o = *fresh
 }
 
--- a/coord/leader/world_test.go
+++ b/coord/leader/world_test.go
@@ -71,6 +71,7 @@
 	nextAsk  time.Time
 	nextPoll time.Time
 	writes   map[uint64]*write
+	floors   map[uint64]time.Time
 }
 
 type write struct {
@@ -100,6 +101,7 @@
 	loss    float64
 	lastID  int
 	acked   map[int]session.Position
+	written map[int]session.Position
 	ackedAt map[int]time.Time
 	faults  []string
 	lastAck time.Time
@@ -109,7 +111,7 @@
 	w := &world{
 		now: time.Unix(1000, 0), began: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 3)),
 		machine: state.New(), servers: map[string]*server{}, slots: []string{"a", "b", "c"},
-		cut: map[[2]string]bool{}, acked: map[int]session.Position{}, ackedAt: map[int]time.Time{},
+		cut: map[[2]string]bool{}, acked: map[int]session.Position{}, written: map[int]session.Position{}, ackedAt: map[int]time.Time{},
 	}
 	w.publish()
 	for i, slot := range w.slots {
@@ -122,7 +124,7 @@
 	for i := range 5 {
 		w.owners = append(w.owners, &owner{
 			vm: fmt.Sprintf("e%d", i), domain: fmt.Sprintf("d%d", i%3), up: true,
-			rate: 1 + (w.random.Float64()-0.5)*0.018, writes: map[uint64]*write{},
+			rate: 1 + (w.random.Float64()-0.5)*0.018, writes: map[uint64]*write{}, floors: map[uint64]time.Time{},
 		})
 	}
 	w.newLeader()
@@ -441,6 +443,7 @@
 			return
 		}
 		s.log = append(s.log, record{term, id})
+		w.written[id] = s.end()
 		s.replayed = len(s.log)
 		w.after(slot, o.vm, func() {
 			if o.up && o.life == life {
@@ -452,6 +455,7 @@
 
 func (w *world) endWrites(o *owner, ended []watch.Done) {
 	for _, d := range ended {
+		w.checkConservative(o, d)
 		wr := o.writes[d.ID]
 		delete(o.writes, d.ID)
 		if wr == nil || d.Superseded || o.holder.Term(w.clock(o), groupName) != wr.term {
@@ -466,6 +470,28 @@
 	}
 }
 
+// ask begins a session that nothing is known of.
+func (w *world) ask(o *owner) {
+	if o.up && w.clock(o).Before(o.holder.Until(groupName)) {
+		o.floors[o.watch.Await(w.clock(o), 0, false)] = w.now
+	}
+}
+
+// checkConservative checks that the floor of a session that nothing is known of covers all that
+// was acknowledged when it began, by whichever owner.
+func (w *world) checkConservative(o *owner, d watch.Done) {
+	began, ok := o.floors[d.ID]
+	delete(o.floors, d.ID)
+	if !ok || d.Superseded {
+		return
+	}
+	for id, at := range w.ackedAt {
+		if at.Before(began) && d.Acknowledged.Less(w.written[id]) {
+			w.fail("%s gave the floor %v to a session that began after write %d at %v was acknowledged", o.vm, d.Acknowledged, id, w.written[id])
+		}
+	}
+}
+
 // checkConnections checks the limit, with what control itself may open.
 func (w *world) checkConnections() {
 	open := controlShare
--- a/coord/watch/watch.go
+++ b/coord/watch/watch.go
@@ -63,14 +63,19 @@
 	Primary string
 	// Admitted is the incarnation whose data counts, by slot.
 	Admitted map[string]string
+	// PrimaryOnly means that writes are acknowledged without a majority.
+	PrimaryOnly bool
 }
 
 // Done is the end of a wait: Position covers what was committed before the wait began, unless
-// Superseded says that the lease ended first.
+// Superseded says that the lease ended first. Acknowledged covers what any owner had
+// acknowledged by then, which is less: what a majority of the slots has synced, if the poll
+// showed every slot, since what a slot has synced once it keeps.
 type Done struct {
-	ID         uint64
-	Position   session.Position
-	Superseded bool
+	ID           uint64
+	Position     session.Position
+	Acknowledged session.Position
+	Superseded   bool
 }
 
 type wait struct {
@@ -156,7 +161,24 @@
 		w.advanceAt = now
 	}
 	w.majority = w.majority.Max(majority)
-	return w.endWaits(r)
+	return w.endWaits(r, acknowledged(r, g, majority))
+}
+
+// acknowledged returns a position that covers every write acknowledged before the poll.
+func acknowledged(r Report, g Group, majority session.Position) session.Position {
+	if g.PrimaryOnly {
+		return r.Position
+	}
+	shown := 1
+	for _, f := range r.Replicas {
+		if f.Slot != g.Primary && f.Incarnation != "" && g.Admitted[f.Slot] == f.Incarnation {
+			shown++
+		}
+	}
+	if shown < g.Slots {
+		return r.Position
+	}
+	return majority
 }
 
 func (w *Watch) learnReplica(asked time.Time, f Replica) {
@@ -189,7 +211,7 @@
 	return session.Position{Term: r.Position.Term, Offset: offsets[len(offsets)-needed]}
 }
 
-func (w *Watch) endWaits(r Report) []Done {
+func (w *Watch) endWaits(r Report, acknowledged session.Position) []Done {
 	var ended []Done
 	for id, t := range w.waits {
 		if !t.known && !r.Asked.Before(t.since) {
@@ -197,7 +219,10 @@
 			t.known = true
 		}
 		if t.known && (!t.majority || !w.majority.Less(t.position)) {
-			ended = append(ended, Done{ID: id, Position: t.position, Superseded: t.term != 0 && t.term != t.position.Term})
+			ended = append(ended, Done{
+				ID: id, Position: t.position, Acknowledged: acknowledged,
+				Superseded: t.term != 0 && t.term != t.position.Term,
+			})
 			delete(w.waits, id)
 		}
 	}
--- a/coord/watch/watch_test.go
+++ b/coord/watch/watch_test.go
@@ -41,7 +41,7 @@
 	is.Equal(len(w.Learn(at(12), report(9, 100, 100, 100), group())), 0)  // asked before
 	is.Equal(len(w.Learn(at(14), report(11, 120, 100, 110), group())), 0) // replicas lack it
 	done := w.Learn(at(16), report(13, 140, 100, 120), group())           // one of two has 120
-	is.Equal(done, []watch.Done{{ID: id, Position: pos(120)}})
+	is.Equal(done, []watch.Done{{ID: id, Position: pos(120), Acknowledged: pos(120)}})
 }
 
 // TestNewcomerDoesNotCount: a server whose data is not known to be that of its slot adds
@@ -62,7 +62,7 @@
 	floor := w.Await(at(10), 0, false)
 	is.Equal(w.Superseded(4), nil)
 	is.Equal(w.Superseded(0), []watch.Done{{ID: id, Superseded: true}})
-	is.Equal(w.Learn(at(12), report(11, 100, 0, 0), group()), []watch.Done{{ID: floor, Position: pos(100)}})
+	is.Equal(w.Learn(at(12), report(11, 100, 0, 0), group()), []watch.Done{{ID: floor, Position: pos(100), Acknowledged: pos(0)}})
 }
 
 func TestHealth(t *testing.T) {
@@ -83,3 +83,16 @@
 	}
 	is.Equal(judge(3000), watch.Stalled) // it answers, and its replicas get nothing
 }
+
+// TestAcknowledgedNeedsEverySlot: what a majority shows covers all acknowledgements only if no
+// slot is missing, since the missing one may have been part of an earlier majority.
+func TestAcknowledgedNeedsEverySlot(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	w.Await(at(10), 0, false)
+	is.Equal(w.Learn(at(12), report(11, 100, 90, 80), group())[0].Acknowledged, pos(90))
+	w.Await(at(20), 0, false)
+	r := report(21, 100, 90, 80)
+	r.Replicas = r.Replicas[1:]
+	is.Equal(w.Learn(at(22), r, group())[0].Acknowledged, pos(100))
+}
--- a/entry/owner/durable.go
+++ b/entry/owner/durable.go
@@ -31,9 +31,9 @@
 	g.wakeDone(g.seen.Superseded(ackTerm))
 }
 
-// await returns a position that covers everything committed before now: with majority, once
+// await waits for a position that covers everything committed before now: with majority, until
 // enough slots have it. With a term other than 0 the wait ends when the lease for it does.
-func (g *group) await(ctx context.Context, majority bool, term uint64) (session.Position, error) {
+func (g *group) await(ctx context.Context, majority bool, term uint64) (watch.Done, error) {
 	waiter := make(chan watch.Done, 1)
 	g.mu.Lock()
 	id := g.seen.Await(time.Now(), term, majority)
@@ -46,15 +46,15 @@
 	select {
 	case done := <-waiter:
 		if done.Superseded {
-			return session.Position{}, errSuperseded
+			return done, errSuperseded
 		}
-		return done.Position, nil
+		return done, nil
 	case <-ctx.Done():
 		g.forgetWait(id)
-		return session.Position{}, errNotDurable
+		return watch.Done{}, errNotDurable
 	case <-g.ctx.Done():
 		g.forgetWait(id)
-		return session.Position{}, errSuperseded
+		return watch.Done{}, errSuperseded
 	}
 }
 
@@ -69,14 +69,14 @@
 // acknowledged, and returns the position that covers it.
 func (g *group) acknowledge(ctx context.Context, term uint64) (session.Position, error) {
 	configured, _, _ := g.owner.View.Configured(g.name)
-	position, err := g.await(ctx, configured.NeedsMajority(), term)
+	done, err := g.await(ctx, configured.NeedsMajority(), term)
 	if err != nil {
 		return session.Position{}, err
 	}
 	if g.owner.View.AckTerm(time.Now(), g.name) != term {
 		return session.Position{}, errSuperseded
 	}
-	return position, nil
+	return done.Position, nil
 }
 
 // floorAt returns a position that covers everything committed before at.
@@ -87,5 +87,13 @@
 	if ok {
 		return position, nil
 	}
-	return g.await(ctx, false, 0)
+	done, err := g.await(ctx, false, 0)
+	return done.Position, err
+}
+
+// acknowledgedFloor returns a position that covers everything acknowledged before now, by
+// whichever owner.
+func (g *group) acknowledgedFloor(ctx context.Context) (session.Position, error) {
+	done, err := g.await(ctx, false, 0)
+	return done.Acknowledged, err
 }
--- a/entry/owner/read.go
+++ b/entry/owner/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -16,7 +17,7 @@
 )
 
 const (
-	defaultReadWait = 25 * time.Millisecond
+	defaultReadWait = 50 * time.Millisecond
 	proveInterval   = 2 * time.Millisecond
 	proveTimeout    = 300 * time.Millisecond
 	floorTimeout    = time.Second
@@ -56,7 +57,7 @@
 }
 
 // floor returns the position that a replica must have: what the session has seen, or, when that
-// is not known, everything that was committed when the unit arrived; and what the primary had
+// is not known, everything that was acknowledged when the unit arrived; and what the primary had
 // as long ago as the staleness allowance says.
 func (u *unit) floor(ctx context.Context, reading config.Reading) (session.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
@@ -66,13 +67,20 @@
 		allowance = asked
 	}
 	m := u.group.owner.Metrics
-	if !u.open.GetFloorKnown() {
+	seen := session.FromWire(u.open.GetFloor())
+	if u.open.GetFloorKnown() {
+		m.FloorsKnown.Add(1)
+	} else {
 		m.FloorsConserved.Add(1)
-		return u.group.floorAt(ctx, u.began)
+		acknowledged, err := u.group.acknowledgedFloor(ctx)
+		if err != nil {
+			return seen, err
+		}
+		seen = acknowledged
+		u.learned = &seen
 	}
-	m.FloorsKnown.Add(1)
 	fresh, err := u.group.floorAt(ctx, u.began.Add(-allowance))
-	return fresh.Max(session.FromWire(u.open.GetFloor())), err
+	return fresh.Max(seen), err
 }
 
 // readFromReplicas tries the replicas in order; errAnswered means that one has answered.
@@ -248,6 +256,10 @@
 			return false, u.readLost(err)
 		}
 		over := f.Type == frame.ReadyForQuery && u.ready(f.Body[0])
+		if f.Type == frame.ReadyForQuery && u.learned != nil {
+			waiting = slices.Insert(waiting, len(waiting)-1, floorFrame(*u.learned))
+			u.learned = nil
+		}
 		u.commitToAnswer()
 		if err := u.serving.send(waiting, f.Type == frame.ReadyForQuery || !conn.Buffered()); err != nil {
 			return over, errAnswered
--- a/entry/owner/unit.go
+++ b/entry/owner/unit.go
@@ -54,7 +54,9 @@
 	over     bool
 	failed   bool
 	// sentAny and mayCommit say what the server may have been asked since it was last ready.
-	sentAny   bool
+	sentAny bool
+	// learned is a floor that the session does not know of yet; only the worker uses it.
+	learned   *session.Position
 	mayCommit bool
 }
 
--- a/entry/owner/watch.go
+++ b/entry/owner/watch.go
@@ -94,7 +94,7 @@
 func (g *group) learn(r watch.Report) {
 	state := g.owner.View.Group(g.name)
 	configured, _, _ := g.owner.View.Configured(g.name)
-	counted := watch.Group{Slots: len(configured.Slots), Primary: state.GetPrimarySlot(), Admitted: map[string]string{}}
+	counted := watch.Group{Slots: len(configured.Slots), Primary: state.GetPrimarySlot(), Admitted: map[string]string{}, PrimaryOnly: !configured.NeedsMajority()}
 	for _, s := range state.GetServers() {
 		if s.GetAdmitted() {
 			counted.Admitted[s.GetSlot()] = s.GetIncarnation()
