coord/watch: a stalled primary stays stalled until replication moves

Cause: an owner that found a primary cut off from its replicas gave up its lease, which ended the waits for replication, and with no wait left the next poll found the primary good again: owners flapped and seldom agreed. Ruled out: the check by the control leader, which agreed at once. Change: the finding holds until a majority has the position at which it stalled; stalls are found after 1 s like failures, and no more after 1.5 s.

--- a/coord/watch/watch.go
+++ b/coord/watch/watch.go
@@ -13,7 +13,7 @@
 	SuspectAfter = time.Second
 	// StallAfter is the time without progress of replication, while it is waited for, after
 	// which a primary is stalled.
-	StallAfter = 1500 * time.Millisecond
+	StallAfter = time.Second
 	// doubtAfter is the time without a good answer after which nothing is concluded.
 	doubtAfter = 400 * time.Millisecond
 	// lagWeight is the inverse of the weight of a new lag in the running mean.
@@ -98,6 +98,8 @@
 	health    Health
 	goodAt    time.Time
 	advanceAt time.Time
+	// stuck is the position at which replication stalled.
+	stuck     session.Position
 	majority  session.Position
 	sightings route.Sightings
 	replicas  map[string]*replica
@@ -248,8 +250,11 @@
 	switch {
 	case now.Sub(w.goodAt) > SuspectAfter:
 		w.health = Unreachable
+	case w.health == Stalled && w.majority.Less(w.stuck):
+		// It stays so without waits, too: they ended with the lease that was given up.
 	case len(w.waits) > 0 && now.Sub(w.advanceAt) > StallAfter:
 		w.health = Stalled
+		w.stuck, _ = w.sightings.Latest()
 	case now.Sub(w.goodAt) <= doubtAfter:
 		w.health = Good
 	}
--- a/coord/watch/watch_test.go
+++ b/coord/watch/watch_test.go
@@ -82,6 +82,11 @@
 		w.Learn(at(ms), report(ms-10, 200, 100, 100), group())
 	}
 	is.Equal(judge(3000), watch.Stalled) // it answers, and its replicas get nothing
+	w.Superseded(0)
+	w.Learn(at(3100), report(3090, 220, 100, 100), group())
+	is.Equal(judge(3110), watch.Stalled) // also when the waits ended with the lease
+	w.Learn(at(3200), report(3190, 220, 220, 100), group())
+	is.Equal(judge(3210), watch.Good)
 }
 
 // TestAcknowledgedNeedsEverySlot: what a majority shows covers all acknowledgements only if no
