--- a/standin/server.go
+++ b/standin/server.go
@@ -32,6 +32,7 @@
 	frozen    atomic.Bool
 	extraLag  atomic.Int64
 	followers sync.Map
+	sessions  sync.Map
 }
 
 // Address returns the host and port that the server listens at.
@@ -173,6 +174,18 @@
 	}
 }
 
+// cancelSession cancels what a session runs.
+func (s *Server) cancelSession(id uint64) {
+	value, ok := s.sessions.Load(id)
+	if !ok {
+		return
+	}
+	select {
+	case value.(*session).canceled <- struct{}{}:
+	default:
+	}
+}
+
 // follow makes the server a replica; one with records that the primary lacks drops them and
 // all its connections.
 func (s *Server) follow(term uint64, address string) bool {
--- a/standin/session.go
+++ b/standin/session.go
@@ -27,6 +27,9 @@
 	portals    map[string]portal
 	skipping   bool
 
+	// canceled takes cancel requests for what runs.
+	canceled chan struct{}
+
 	inTransaction bool
 	failed        bool
 	readOnly      bool
@@ -45,6 +48,7 @@
 	return &session{
 		server: s, conn: conn, id: lastSession.Add(1),
 		backend:    pgproto3.NewBackend(conn, conn),
+		canceled:   make(chan struct{}, 1),
 		statements: map[string]*pgproto3.Parse{}, portals: map[string]portal{},
 	}
 }
@@ -56,6 +60,8 @@
 	}
 	c.server.group.log.connected(1)
 	defer c.server.group.log.connected(-1)
+	c.server.sessions.Store(c.id, c)
+	defer c.server.sessions.Delete(c.id)
 	for ctx.Err() == nil {
 		message, err := c.backend.Receive()
 		if err != nil {
@@ -87,6 +93,9 @@
 			if _, err := c.conn.Write([]byte{'N'}); err != nil {
 				return false
 			}
+		case *pgproto3.CancelRequest:
+			c.server.cancelSession(uint64(m.ProcessID))
+			return false
 		case *pgproto3.StartupMessage:
 			c.name = m.Parameters["application_name"]
 			return c.welcome(ctx)
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -329,7 +329,12 @@
 		return c.rows(describe, textFields("count"), [][]string{{fmt.Sprint(len(c.table()))}})
 	case sleepPattern.MatchString(query):
 		seconds, _ := strconv.ParseFloat(sleepPattern.FindStringSubmatch(query)[1], 64)
-		pause(ctx, time.Duration(seconds*float64(time.Second)))
+		select {
+		case <-c.canceled:
+			return c.fail("57014", "canceling statement due to user request")
+		case <-ctx.Done():
+		case <-time.After(time.Duration(seconds * float64(time.Second))):
+		}
 		return c.rows(describe, textFields("pg_sleep"), [][]string{{""}})
 	case copyInPattern.MatchString(query):
 		return c.copyRows()
--- a/trefoil/internal/rig/network.go
+++ b/trefoil/internal/rig/network.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // Network delays and cuts loopback connections between named places.
@@ -91,3 +93,19 @@
 	n.mu.Unlock()
 	return c, nil
 }
+
+// CancelAt sends a caller's cancel request to an entry VM.
+func (r *Rig) CancelAt(ctx context.Context, i int, processID uint32, secret []byte) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", r.CallerAddress(i))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	request := &pgproto3.CancelRequest{ProcessID: processID, SecretKey: secret}
+	data, err := request.Encode(nil)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(data)
+	return err
+}
