wire/identity: TLS for callers, among the processes, and for announcements

Cause: anybody on the network could renew, announce or forward. Not covered: connections to backend servers are plain, as are the stand-in's announcements.

--- /dev/null
+++ b/control/http.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+)
+
+const httpTimeout = 5 * time.Second
+
+// serveHTTP serves health and counters, if the settings name an address, until ctx ends.
+func (s *Server) serveHTTP(ctx context.Context) error {
+	if s.Settings.HTTP == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.Settings.HTTP)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", s.health)
+	mux.Handle("/debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: httpTimeout}
+	s.httpEnded = make(chan error, 1)
+	go func() { s.httpEnded <- server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return nil
+}
+
+// health is good while this VM leads or hears a leader.
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	good := false
+	s.do(r.Context(), func(now time.Time) { good = s.leading(now) || s.node.LeaderKey() != "" })
+	if !good {
+		http.Error(w, "no leader is heard", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
--- /dev/null
+++ b/control/internal/disk/store_test.go
@@ -0,0 +1,100 @@
+package disk_test
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/control/internal/disk"
+	"trefoilcourse/coord/raft"
+	"trefoilcourse/wire"
+)
+
+func entries(from, to, term uint64) []*wire.LogEntry {
+	var list []*wire.LogEntry
+	for i := from; i <= to; i++ {
+		list = append(list, &wire.LogEntry{Index: i, Term: term, Data: []byte("an entry of the log")})
+	}
+	return list
+}
+
+func filled(t *testing.T, folder string) {
+	is := is.New(t)
+	s, err := disk.Open(folder)
+	is.NoErr(err)
+	is.NoErr(s.Form(&wire.Membership{Members: []*wire.ControlMember{{Vm: "c1", Incarnation: s.Incarnation(), Voter: true}}}))
+	is.NoErr(s.Save(&raft.Effects{Hard: &wire.HardState{Term: 3, Vote: "c1/x"}, Entries: entries(1, 20, 2)}))
+	is.NoErr(s.Save(&raft.Effects{TruncateFrom: 15, Entries: entries(15, 16, 3)}))
+	is.NoErr(s.Close())
+}
+
+func TestReadBack(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	filled(t, folder)
+	s, err := disk.Open(folder)
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	stored, empty, err := s.Load()
+	is.NoErr(err)
+	is.True(!empty)
+	is.Equal(stored.Hard.GetVote(), "c1/x")
+	is.Equal(len(stored.Entries), 16)
+	is.Equal(stored.Entries[15].GetTerm(), uint64(3))
+	is.NoErr(s.Save(&raft.Effects{Snapshot: &wire.LogSnapshot{Index: 16, Term: 3, State: []byte("state")}, Entries: entries(17, 18, 3)}))
+	stored, _, err = s.Load()
+	is.NoErr(err)
+	is.Equal(stored.Snapshot.GetIndex(), uint64(16))
+	is.Equal(len(stored.Entries), 2)
+}
+
+func TestOneProcess(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s, err := disk.Open(folder)
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	_, err = disk.Open(folder)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "in use by another process"))
+}
+
+func TestWipedFolderIsAnother(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s, err := disk.Open(folder)
+	is.NoErr(err)
+	first := s.Incarnation()
+	is.NoErr(s.Close())
+	is.NoErr(os.RemoveAll(folder))
+	s, err = disk.Open(folder)
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	is.True(s.Incarnation() != first)
+	_, empty, err := s.Load()
+	is.NoErr(err)
+	is.True(empty)
+}
+
+// TestDamageIsFound: a byte that changed on the disk is never taken for what was written.
+func TestDamageIsFound(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	filled(t, folder)
+	path := filepath.Join(folder, "agreement.db")
+	data, err := os.ReadFile(path)
+	is.NoErr(err)
+	damaged := bytes.ReplaceAll(data, []byte("an entry of the log"), []byte("an entry of the dog"))
+	is.True(!bytes.Equal(data, damaged))
+	is.NoErr(os.WriteFile(path, damaged, 0o600))
+	s, err := disk.Open(folder)
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	_, _, err = s.Load()
+	is.True(errors.Is(err, disk.ErrChecksum))
+}
--- a/control/orders.go
+++ b/control/orders.go
@@ -43,7 +43,7 @@
 }
 
 func (s *Server) client(group string) *backend.Client {
-	return &backend.Client{Group: group, Dial: s.Dialer.DialContext}
+	return &backend.Client{Group: group, Dial: s.BackendDialer.DialContext}
 }
 
 // query asks slots for their status, one question to a slot at a time.
--- a/control/server.go
+++ b/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"trefoilcourse/coord/raft"
 	"trefoilcourse/coord/state"
 	"trefoilcourse/wire"
+	"trefoilcourse/wire/identity"
 	"trefoilcourse/wire/protorpc"
 )
 
@@ -31,8 +33,10 @@
 	Settings Settings
 	// Listener accepts the system's processes; nil means Settings.Listen is opened.
 	Listener net.Listener
-	// Dialer reaches control VMs and backend servers; nil means plain TCP.
+	// Dialer reaches control VMs; nil means TCP, with TLS if Settings say so.
 	Dialer protorpc.Dialer
+	// BackendDialer reaches backend servers; nil means Dialer, or plain TCP if that is nil too.
+	BackendDialer protorpc.Dialer
 	// Owners is the number of entry VMs that own a group; 0 means leader.DefaultOwners.
 	Owners int
 	// Log receives changes of state; nil means the standard logger.
@@ -55,6 +59,7 @@
 	commanded   map[string]uint64
 	querying    map[string]bool
 	leadingTerm uint64
+	httpEnded   chan error
 	formed      bool
 }
 
@@ -67,12 +72,25 @@
 			s.Log = logrus.StandardLogger()
 		}
 		s.Log = s.Log.WithField("vm", s.Settings.VM)
+		if s.BackendDialer == nil {
+			s.BackendDialer = s.Dialer
+		}
+		if s.BackendDialer == nil {
+			s.BackendDialer = &net.Dialer{}
+		}
 		if s.Dialer == nil {
-			s.Dialer = &net.Dialer{}
+			s.Dialer = s.plainOrTLS()
 		}
 	})
 }
 
+func (s *Server) plainOrTLS() protorpc.Dialer {
+	if s.Settings.TLS == nil {
+		return &net.Dialer{}
+	}
+	return &identity.Dialer{Identity: &identity.Identity{Files: *s.Settings.TLS}}
+}
+
 // Run serves until ctx ends or the data folder fails; the latter is returned as an error.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
@@ -122,6 +140,12 @@
 		}
 		listener = opened
 	}
+	if s.Settings.TLS != nil {
+		listener = tls.NewListener(listener, (&identity.Identity{Files: *s.Settings.TLS}).Mutual())
+	}
+	if err := s.serveHTTP(ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	accepting := make(chan error, 1)
 	go func() { accepting <- s.accept(ctx, listener) }()
 	joining := make(chan error, 1)
@@ -132,6 +156,9 @@
 	_ = listener.Close()
 	<-accepting
 	<-joining
+	if s.httpEnded != nil {
+		<-s.httpEnded
+	}
 	for _, p := range s.peers {
 		<-p.ended
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -5,16 +5,20 @@
 	"net"
 
 	"trefoilcourse/coord/settings"
+	"trefoilcourse/wire/identity"
 )
 
 // Settings is what a control VM reads from its settings file.
 type Settings struct {
-	VM            string            `json:"vm"`
-	FailureDomain string            `json:"failure-domain"`
-	Listen        string            `json:"listen"`
-	Health        string            `json:"health,omitempty"`
-	DataFolder    string            `json:"data-folder"`
-	Peers         map[string]string `json:"peers"`
+	VM            string `json:"vm"`
+	FailureDomain string `json:"failure-domain"`
+	Listen        string `json:"listen"`
+	// HTTP serves /healthz and /debug/vars; empty serves neither.
+	HTTP       string            `json:"http,omitempty"`
+	DataFolder string            `json:"data-folder"`
+	Peers      map[string]string `json:"peers"`
+	// TLS is used among the system's processes; nil leaves them in plain text.
+	TLS *identity.Files `json:"tls,omitempty"`
 }
 
 // LoadSettings reads and checks a settings file.
@@ -38,6 +42,14 @@
 	case s.Peers[s.VM] == "":
 		return fmt.Errorf("peers does not list %q; include this control VM", s.VM)
 	}
+	if s.TLS != nil {
+		if s.TLS.Authority == "" {
+			return fmt.Errorf("tls has no authority; name the one that the system's certificates come from")
+		}
+		if err := (&identity.Identity{Files: *s.TLS}).Check(); err != nil {
+			return err
+		}
+	}
 	for vm, address := range s.Peers {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return fmt.Errorf("address of peer %q: %w", vm, err)
--- /dev/null
+++ b/entry/internal/frame/frame_test.go
@@ -0,0 +1,56 @@
+package frame_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/entry/internal/frame"
+)
+
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	w := frame.NewWriter(&b)
+	large := bytes.Repeat([]byte("x"), 100_000)
+	is.NoErr(w.Write(frame.Frame{Type: frame.DataRow, Body: large}))
+	is.NoErr(w.Write(frame.Ready(frame.Idle)))
+	is.NoErr(w.Flush())
+	r := frame.NewReader(&b)
+	f, err := r.Next()
+	is.NoErr(err)
+	is.Equal(len(f.Body), len(large))
+	f, err = r.Next()
+	is.NoErr(err)
+	is.Equal(f, frame.Ready(frame.Idle))
+}
+
+// TestTracker: a unit is over only when nothing is awaited, no batch is open and no transaction.
+func TestTracker(t *testing.T) {
+	is := is.New(t)
+	var tr frame.Tracker
+	for _, kind := range []byte{frame.Parse, frame.Bind, frame.Execute, frame.Sync, frame.Parse} {
+		tr.Sent(frame.Frame{Type: kind})
+	}
+	is.True(!tr.Ready(frame.Idle)) // another batch has begun
+	tr.Sent(frame.Frame{Type: frame.Sync})
+	is.True(!tr.Ready(frame.InTransaction))
+	tr.Sent(frame.Frame{Type: frame.Query})
+	tr.Sent(frame.Frame{Type: frame.Query})
+	is.True(!tr.Ready(frame.Idle)) // one more answer is awaited
+	is.True(tr.Ready(frame.Idle))
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add([]byte{'Q', 0, 0, 0, 5, 0})
+	f.Add([]byte{'Q', 255, 255, 255, 255})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := frame.NewReader(bytes.NewReader(data))
+		for {
+			if _, err := r.Next(); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"expvar"
@@ -23,6 +24,7 @@
 	"trefoilcourse/entry/link"
 	"trefoilcourse/entry/owner"
 	"trefoilcourse/wire"
+	"trefoilcourse/wire/identity"
 	"trefoilcourse/wire/protorpc"
 )
 
@@ -160,6 +162,7 @@
 	}
 	log := s.Log.WithField("vm", s.Settings.VM)
 	s.metrics.Publish("trefoil-entry-" + s.Settings.VM)
+	s.secure()
 	s.view = view.New()
 	s.links = &link.Pool{Dialer: s.LinkDialer}
 	s.client = &control.Client{
@@ -177,10 +180,49 @@
 	s.client.Reporter = s.owner
 	s.callers = &caller.Server{
 		VM: s.Settings.VM, FailureDomain: s.Settings.FailureDomain, View: s.view,
-		Links: s.links, Metrics: &s.metrics, Log: log,
+		Links: s.links, Metrics: &s.metrics, Log: log, TLS: s.callerTLS(),
 	}
 }
 
+// secure puts TLS under everything that the settings want it for.
+func (s *Server) secure() {
+	if s.Settings.TLS == nil {
+		return
+	}
+	id := &identity.Identity{Files: *s.Settings.TLS}
+	dialer := &identity.Dialer{Identity: id}
+	if s.ControlDialer == nil {
+		s.ControlDialer = dialer
+	}
+	if s.LinkDialer == nil {
+		s.LinkDialer = dialer
+	}
+	s.LinkListener = tls.NewListener(s.LinkListener, id.Mutual())
+	s.HTTPListener = tls.NewListener(s.HTTPListener, id.Optional())
+}
+
+// callerTLS returns what is offered to callers, or nil.
+func (s *Server) callerTLS() *tls.Config {
+	if s.Settings.CallerTLS == nil {
+		return nil
+	}
+	return (&identity.Identity{Files: *s.Settings.CallerTLS}).Plain()
+}
+
+// certified serves only those who have a certificate, if the settings ask for them.
+func (s *Server) certified(h http.Handler) http.Handler {
+	if s.Settings.TLS == nil {
+		return h
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+			http.Error(w, "a certificate is needed", http.StatusForbidden)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func orPlain(d protorpc.Dialer) protorpc.Dialer {
 	if d == nil {
 		return &net.Dialer{}
@@ -213,9 +255,9 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(announce.Path, &announce.Handler{View: s.view, Sink: s.client, Metrics: &s.metrics})
+	mux.Handle(announce.Path, s.certified(&announce.Handler{View: s.view, Sink: s.client, Metrics: &s.metrics}))
 	mux.HandleFunc(healthPath, s.health)
-	mux.Handle(variablesPath, expvar.Handler())
+	mux.Handle(variablesPath, s.certified(expvar.Handler()))
 	return mux
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilcourse/coord/settings"
+	"trefoilcourse/wire/identity"
 )
 
 // Settings is what an entry VM reads from its settings file.
@@ -19,6 +20,11 @@
 	Control       []string `json:"control"`
 	// DrainMilliseconds is how long the health answer is bad before callers are sent away.
 	DrainMilliseconds int `json:"drain-milliseconds,omitempty"`
+	// TLS is used among the system's processes and for announcements; nil leaves them in plain
+	// text.
+	TLS *identity.Files `json:"tls,omitempty"`
+	// CallerTLS is offered to callers; nil refuses TLS.
+	CallerTLS *identity.Files `json:"caller-tls,omitempty"`
 }
 
 const maxDrainMilliseconds = 600_000
@@ -44,6 +50,17 @@
 	case s.DrainMilliseconds < 0 || s.DrainMilliseconds > maxDrainMilliseconds:
 		return fmt.Errorf("drain-milliseconds is %d; use a number from 0 to %d", s.DrainMilliseconds, maxDrainMilliseconds)
 	}
+	if s.TLS != nil && s.TLS.Authority == "" {
+		return fmt.Errorf("tls has no authority; name the one that the system's certificates come from")
+	}
+	for _, files := range []*identity.Files{s.TLS, s.CallerTLS} {
+		if files == nil {
+			continue
+		}
+		if err := (&identity.Identity{Files: *files}).Check(); err != nil {
+			return err
+		}
+	}
 	for _, address := range append([]string{s.Callers, s.Links, s.HTTP}, s.Control...) {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return fmt.Errorf("address %q: %w", address, err)
--- a/trefoil/connect.go
+++ b/trefoil/connect.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"trefoilcourse/trefoil/internal/control"
+	"trefoilcourse/wire/identity"
 )
 
 const (
@@ -24,6 +25,7 @@
 	addresses []string
 	timeout   time.Duration
 	asJSON    bool
+	files     identity.Files
 }
 
 func (n *connection) register(c *cobra.Command) {
@@ -33,6 +35,9 @@
 	}
 	c.Flags().StringSliceVar(&n.addresses, "control", named, "addresses of control VMs (default from "+controlVariable+")")
 	c.Flags().DurationVar(&n.timeout, "timeout", defaultTimeout, "how long to try")
+	c.Flags().StringVar(&n.files.Certificate, "certificate", "", "certificate file, where the system uses TLS")
+	c.Flags().StringVar(&n.files.Key, "key", "", "key file of the certificate")
+	c.Flags().StringVar(&n.files.Authority, "authority", "", "certificate file of the authority")
 	c.Flags().BoolVar(&n.asJSON, "json", false, "print JSON")
 }
 
@@ -43,7 +48,15 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), n.timeout)
 	defer cancel()
-	err := f(ctx, &control.Client{Addresses: n.addresses})
+	client := &control.Client{Addresses: n.addresses}
+	if n.files.Certificate != "" {
+		id := &identity.Identity{Files: n.files}
+		if err := id.Check(); err != nil {
+			return err
+		}
+		client.Dialer = &identity.Dialer{Identity: id}
+	}
+	err := f(ctx, client)
 	if err != nil && ctx.Err() != nil {
 		return statusError{err, exitNoReply}
 	}
--- /dev/null
+++ b/wire/identity/doc.go
@@ -0,0 +1,6 @@
+// Package identity makes TLS configurations from certificate files and reads the files again
+// when they change, so that a renewed certificate needs no restart.
+//
+//	id := &identity.Identity{Files: identity.Files{Certificate: "vm.pem", Key: "vm.key", Authority: "ca.pem"}}
+//	listener = tls.NewListener(listener, id.Mutual())
+package identity
