--- a/entry/internal/metrics/metrics.go
+++ b/entry/internal/metrics/metrics.go
@@ -9,6 +9,8 @@
 
 // Metrics are the counters of one entry VM; Publish makes them visible by expvar.
 type Metrics struct {
+	// Life tells one start of the daemon from another.
+	Life             expvar.String
 	Callers          expvar.Int
 	Units            expvar.Int
 	ReadsEligible    expvar.Int
@@ -45,7 +47,7 @@
 // Publish makes the counters visible under name, once a process.
 func (m *Metrics) Publish(name string) {
 	for key, value := range map[string]expvar.Var{
-		"callers": &m.Callers, "units": &m.Units,
+		"life": &m.Life, "callers": &m.Callers, "units": &m.Units,
 		"reads-eligible": &m.ReadsEligible, "reads-by-replica": &m.ReadsByReplica,
 		"reads-by-primary": &m.ReadsByPrimary, "reads-as-writes": &m.ReadsAsWrites,
 		"proofs": &m.Proofs, "polls": &m.Polls, "writes-acknowledged": &m.WritesAcked,
