coord: orders name a life of the data, and floors need the lease

And: a session's floor was taken from a primary that had been replaced, by an owner that no longer held its lease. Ruled out: two disks lost at once, which the property excludes. Change: orders carry the incarnation and servers of another refuse; a promotion is done only when a server that counts leads; polls prove floors only under the lease.

--- a/control/internal/backend/client.go
+++ b/control/internal/backend/client.go
@@ -91,9 +91,10 @@
 	return s, true
 }
 
-// Promote orders the server at address to lead a term; it is idempotent.
-func (c *Client) Promote(ctx context.Context, address string, term uint64) error {
-	return c.order(ctx, address, fmt.Sprintf("SELECT trefoil_promote(%d)", term))
+// Promote orders the server at address to lead a term, if its data is still that of the given
+// incarnation; it is idempotent.
+func (c *Client) Promote(ctx context.Context, address string, term uint64, incarnation string) error {
+	return c.order(ctx, address, fmt.Sprintf("SELECT trefoil_promote(%d, '%s')", term, incarnation))
 }
 
 // Follow orders the server at address to follow a term's primary; it is idempotent.
--- a/control/orders.go
+++ b/control/orders.go
@@ -77,7 +77,7 @@
 func (s *Server) promote(ctx context.Context, group string, p promote.Primary) {
 	address := s.leader.Address(group, p.Slot)
 	s.order(ctx, group, p.Slot, address, func(ctx context.Context) error {
-		return s.client(group).Promote(ctx, address, p.Term)
+		return s.client(group).Promote(ctx, address, p.Term, p.Incarnations[p.Slot])
 	})
 }
 
--- a/coord/admit/admit_test.go
+++ b/coord/admit/admit_test.go
@@ -1,10 +1,8 @@
 package admit_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,16 +11,10 @@
 	"pgregory.net/rapid"
 
 	"trefoilcourse/coord/admit"
+	"trefoilcourse/coord/internal/fixedseed"
 )
 
-// TestMain fixes the seed of the properties, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, 300) }
 
 var start = time.Unix(1000, 0)
 
--- a/coord/leader/chaos_test.go
+++ b/coord/leader/chaos_test.go
@@ -1,24 +1,16 @@
 package leader_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"trefoilcourse/coord/internal/fixedseed"
 )
 
-// TestMain fixes the seed of the properties, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "300")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, 300) }
 
 // TestChaos drives owners, the control leader and backend servers together through failures,
 // and checks the promises: nothing acknowledged is lost, nothing is acknowledged by a
@@ -180,3 +172,37 @@
 	is.Equal(len(w.faults), 0)
 	t.Logf("writes land after %v", w.lastAck.Sub(at))
 }
+
+// TestWipedWhileOrdered: a server that is chosen and wiped before the order comes must not lead.
+// A property's seed once lost all that was acknowledged: the fresh server led, and the others
+// dropped what it did not have. Trace: a and b answer, a is recorded for term 2, a is wiped, the
+// order to slot a is carried out by the empty server, b follows and rewinds.
+func TestWipedWhileOrdered(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(8 * time.Second)
+	for range 10 {
+		for _, o := range w.owners {
+			w.write(o)
+		}
+		w.run(50 * time.Millisecond)
+	}
+	is.NoErr(w.leader.Force(w.now, groupName, "a", false))
+	for range 500 {
+		w.run(tick)
+		if w.machine.Primary(groupName).GetTerm() > 1 {
+			break
+		}
+	}
+	recorded := w.machine.Primary(groupName)
+	is.True(recorded.GetTerm() > 1)
+	w.events = nil // the order is not carried out yet
+	w.wipe(w.servers[recorded.GetSlot()])
+	w.run(10 * time.Second)
+	primary := w.servers[w.machine.Primary(groupName).GetSlot()]
+	is.True(len(w.acked) > 0)
+	for id := range w.acked {
+		is.True(has(primary.log, id)) // an acknowledged write is lost
+	}
+	is.Equal(len(w.faults), 0)
+}
--- a/coord/leader/world_test.go
+++ b/coord/leader/world_test.go
@@ -238,7 +238,7 @@
 		p := *a.Promote
 		s := w.servers[p.Slot]
 		w.after(place, p.Slot, func() {
-			if s.up {
+			if s.up && p.Incarnations[p.Slot] == fmt.Sprint(s.incarnation) {
 				s.lead(p.Term)
 			}
 		})
@@ -402,7 +402,7 @@
 		}
 		w.after(slot, o.vm, func() {
 			if o.up && o.life == life && o.watch.Term() == term {
-				w.endWrites(o, o.watch.Learn(w.clock(o), report, o.counted()))
+				w.endWrites(o, o.watch.Learn(w.clock(o), report, o.counted(w.clock(o))))
 			}
 		})
 	})
@@ -417,8 +417,11 @@
 	return true
 }
 
-func (o *owner) counted() watch.Group {
-	g := watch.Group{Slots: 3, Primary: o.state.GetPrimarySlot(), Admitted: map[string]string{}}
+func (o *owner) counted(now time.Time) watch.Group {
+	g := watch.Group{
+		Slots: 3, Primary: o.state.GetPrimarySlot(), Admitted: map[string]string{},
+		Leased: o.holder.Term(now, groupName) == o.watch.Term(),
+	}
 	for _, s := range o.state.GetServers() {
 		if s.GetAdmitted() {
 			g.Admitted[s.GetSlot()] = s.GetIncarnation()
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -2,26 +2,18 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"hash/fnv"
-	"os"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"trefoilcourse/coord/internal/fixedseed"
 	"trefoilcourse/coord/place"
 )
 
-// TestMain fixes the seed of the properties, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, 100) }
 
 func members(count, domains int) []place.Member {
 	var all []place.Member
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -86,7 +86,8 @@
 	Query []string
 	// Record proposes a primary to the control VMs.
 	Record *Primary
-	// Promote orders the recorded primary to lead its term.
+	// Promote orders the recorded primary to lead its term, if its data is still that of the
+	// recorded incarnation: a server that was wiped meanwhile must refuse.
 	Promote *Primary
 	// Follow orders a slot to follow the recorded primary.
 	Follow string
@@ -348,12 +349,13 @@
 func (g *Group) tickOrdering(now time.Time) []Action {
 	g.note = fmt.Sprintf("ordering slot %q to lead term %d", g.primary.Slot, g.primary.Term)
 	s, ok := g.statuses[g.primary.Slot]
-	if ok && !s.Asked.Before(g.since) && s.Primary && s.Term == g.primary.Term {
+	if ok && !s.Asked.Before(g.since) && s.Primary && s.Term == g.primary.Term && g.counts(s) {
 		g.step(now, "promoted")
 		g.note = ""
 		return g.repair(now)
 	}
-	if now.Sub(g.since) >= orderTimeout {
+	wiped := ok && !s.Asked.Before(g.since) && s.Incarnation != "" && !g.counts(s)
+	if wiped || now.Sub(g.since) >= orderTimeout {
 		g.step(now, "failed")
 		return nil
 	}
--- a/coord/route/route_test.go
+++ b/coord/route/route_test.go
@@ -1,26 +1,18 @@
 package route_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"trefoilcourse/coord/internal/fixedseed"
 	"trefoilcourse/coord/route"
 	"trefoilcourse/coord/session"
 )
 
-// TestMain fixes the seed of the properties, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, 300) }
 
 var start = time.Unix(1000, 0)
 
--- a/coord/state/state_test.go
+++ b/coord/state/state_test.go
@@ -1,27 +1,19 @@
 package state_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"trefoilcourse/coord/internal/fixedseed"
 	"trefoilcourse/coord/state"
 	"trefoilcourse/wire"
 )
 
-// TestMain fixes the seed of the properties, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, 100) }
 
 func publish(m *state.Machine, id string, base uint64, bodies map[string]string) *wire.PublishResult {
 	p := &wire.PublishRequest{Id: id, BaseVersion: base, Author: id + "'s author"}
--- a/coord/watch/watch.go
+++ b/coord/watch/watch.go
@@ -66,6 +66,9 @@
 	Primary string
 	// Admitted is the incarnation whose data counts, by slot.
 	Admitted map[string]string
+	// Leased means that the owner holds the lease for the watched term as it learns, so that no
+	// later primary can have acknowledged anything before; without it a poll proves no floor.
+	Leased bool
 	// PrimaryOnly means that writes are acknowledged without a majority.
 	PrimaryOnly bool
 }
@@ -160,7 +163,9 @@
 func (w *Watch) Learn(now time.Time, r Report, g Group) []Done {
 	w.goodAt = now
 	w.refusedAt = time.Time{}
-	w.sightings.Record(r.Asked, r.Position)
+	if g.Leased {
+		w.sightings.Record(r.Asked, r.Position)
+	}
 	for _, f := range r.Replicas {
 		w.learnReplica(r.Asked, f)
 	}
@@ -169,7 +174,7 @@
 		w.advanceAt = now
 	}
 	w.majority = w.majority.Max(majority)
-	return w.endWaits(r, acknowledged(r, g, majority))
+	return w.endWaits(r, g.Leased, acknowledged(r, g, majority))
 }
 
 // acknowledged returns a position that covers every write acknowledged before the poll.
@@ -219,9 +224,12 @@
 	return session.Position{Term: r.Position.Term, Offset: offsets[len(offsets)-needed]}
 }
 
-func (w *Watch) endWaits(r Report, acknowledged session.Position) []Done {
+func (w *Watch) endWaits(r Report, leased bool, acknowledged session.Position) []Done {
 	var ended []Done
 	for id, t := range w.waits {
+		if !leased && t.term == 0 {
+			continue
+		}
 		if !t.known && !r.Asked.Before(t.since) {
 			t.position = r.Position
 			t.known = true
--- a/coord/watch/watch_test.go
+++ b/coord/watch/watch_test.go
@@ -17,7 +17,7 @@
 func pos(offset uint64) session.Position { return session.Position{Term: 4, Offset: offset} }
 
 func group() watch.Group {
-	return watch.Group{Slots: 3, Primary: "a", Admitted: map[string]string{"a": "1", "b": "1", "c": "1"}}
+	return watch.Group{Slots: 3, Primary: "a", Leased: true, Admitted: map[string]string{"a": "1", "b": "1", "c": "1"}}
 }
 
 func report(asked int, offset uint64, b, c uint64) watch.Report {
@@ -119,3 +119,18 @@
 	r.Replicas = r.Replicas[1:]
 	is.Equal(w.Learn(at(22), r, group())[0].Acknowledged, pos(100))
 }
+
+// TestFloorNeedsTheLease: a primary that is polled without the lease for its term may have been
+// replaced, and what it says covers nothing. A property's seed found a session that began after
+// a write of term 2 was acknowledged, with a floor of term 1.
+func TestFloorNeedsTheLease(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	w.Await(at(10), 0, false)
+	g := group()
+	g.Leased = false
+	is.Equal(len(w.Learn(at(12), report(11, 100, 100, 100), g)), 0)
+	_, ok := w.Sightings().FloorAt(at(5))
+	is.True(!ok)
+	is.Equal(len(w.Learn(at(14), report(13, 100, 100, 100), group())), 1)
+}
--- a/entry/caller/exchange.go
+++ b/entry/caller/exchange.go
@@ -6,9 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
-	"trefoilcourse/coord/session"
 	"trefoilcourse/coord/statement"
 	"trefoilcourse/entry/internal/frame"
 	"trefoilcourse/entry/internal/outcome"
@@ -16,21 +13,9 @@
 )
 
 const (
-	redirectPause    = 20 * time.Millisecond
-	floorSetting     = "trefoil.floor"
-	refusedStatement = "trefoilcourse refuses a change of session state"
+	redirectPause = 20 * time.Millisecond
 )
 
-// sent is a frame that was forwarded, with what its answer means here.
-type sent struct {
-	frame frame.Frame
-	// hidden frames were added by the proxy; their answers are not passed on.
-	hidden bool
-	// name is the statement that a Parse makes known; empty for none.
-	name string
-	text string
-}
-
 // exchange is a unit of work under way at an owner.
 type exchange struct {
 	session  *connection
@@ -96,70 +81,6 @@
 	return nil
 }
 
-// add takes a frame of the caller, with a Parse in front of it if the owner lacks a statement;
-// session.mu is held.
-func (x *exchange) add(f frame.Frame) []sent {
-	var added []sent
-	s := sent{frame: f}
-	switch f.Type {
-	case frame.Parse:
-		var m pgproto3.Parse
-		if m.Decode(f.Body) == nil {
-			s.name, s.text = m.Name, m.Query
-			x.known[m.Name] = true
-		}
-	case frame.Bind, frame.Describe:
-		if parse, ok := x.missing(f); ok {
-			added = append(added, parse)
-		}
-	case frame.Close:
-		var m pgproto3.Close
-		if m.Decode(f.Body) == nil && m.ObjectType == 'S' {
-			delete(x.session.statements, m.Name)
-			delete(x.known, m.Name)
-		}
-	}
-	added = append(added, s)
-	x.tracker.Sent(f)
-	for _, a := range added {
-		if a.frame.Type == frame.Parse {
-			x.parses = append(x.parses, a)
-		}
-		x.keptSize += a.frame.Size()
-	}
-	if !x.complete {
-		return added
-	}
-	x.kept = append(x.kept, added...)
-	if x.keptSize > maxBatchBytes && x.stream != nil {
-		x.complete = false
-		x.kept = nil
-	}
-	return added
-}
-
-// missing returns the Parse of a statement that f uses and the owner has not been told of.
-func (x *exchange) missing(f frame.Frame) (sent, bool) {
-	name := ""
-	if f.Type == frame.Bind {
-		var m pgproto3.Bind
-		if m.Decode(f.Body) == nil {
-			name = m.PreparedStatement
-		}
-	} else {
-		var m pgproto3.Describe
-		if m.Decode(f.Body) == nil && m.ObjectType == 'S' {
-			name = m.Name
-		}
-	}
-	n, ok := x.session.statements[name]
-	if name == "" || !ok || x.known[name] {
-		return sent{}, false
-	}
-	x.known[name] = true
-	return sent{frame: n.parse, hidden: true, name: name, text: n.text}, true
-}
-
 // feed takes a further frame of the caller; false means that the unit is over.
 func (x *exchange) feed(f frame.Frame) bool {
 	c := x.session
@@ -192,19 +113,6 @@
 	return true
 }
 
-// refusedFrame replaces a change of session state by a statement that fails, so that the
-// transaction it stands in fails as it would with a server's own refusal.
-func refusedFrame(f frame.Frame) frame.Frame {
-	if f.Type == frame.Query {
-		return frame.Of(&pgproto3.Query{String: refusedStatement})
-	}
-	var m pgproto3.Parse
-	if m.Decode(f.Body) != nil {
-		return f
-	}
-	return frame.Of(&pgproto3.Parse{Name: m.Name, Query: refusedStatement})
-}
-
 // run finds an owner and passes its answers on until the unit is over.
 func (x *exchange) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
@@ -243,28 +151,6 @@
 	return outcome.NotRun(outcome.NotOwner, "no entry VM serves database "+group+" now", "Send it again; owners change within seconds.")
 }
 
-// ownerFor returns the owner to try: this VM first, then those nearby; last is true for the
-// last of them.
-func (s *Server) ownerFor(group string, attempt int) (vm string, last bool) {
-	owners := slices.Clone(s.View.Group(group).GetOwners())
-	if len(owners) == 0 {
-		return "", true
-	}
-	slices.SortStableFunc(owners, func(a, b string) int { return s.distance(a) - s.distance(b) })
-	i := attempt % len(owners)
-	return owners[i], i == len(owners)-1
-}
-
-func (s *Server) distance(vm string) int {
-	switch {
-	case vm == s.VM:
-		return 0
-	case s.View.Member(vm).GetFailureDomain() == s.FailureDomain:
-		return 1
-	}
-	return 2
-}
-
 // attempt runs the unit at one owner; a refusal means that it was not run there and may be
 // tried at another.
 func (x *exchange) attempt(ctx context.Context, vm string) *outcome.Refusal {
@@ -371,36 +257,6 @@
 	return f, false, over
 }
 
-// prepared takes note of a ParseComplete and reports whether it is hidden from the caller.
-func (x *exchange) prepared() bool {
-	if len(x.parses) == 0 {
-		return false
-	}
-	first := x.parses[0]
-	x.parses = x.parses[1:]
-	if first.hidden {
-		return true
-	}
-	if first.name != "" {
-		x.session.statements[first.name] = named{parse: first.frame, text: first.text}
-	}
-	x.answered = true
-	x.complete = false
-	x.kept = nil
-	return false
-}
-
-func (x *exchange) takeFloor(f frame.Frame) {
-	var m pgproto3.ParameterStatus
-	if m.Decode(f.Body) != nil || m.Name != floorSetting {
-		return
-	}
-	if p, err := session.ParsePosition(m.Value); err == nil {
-		x.session.floor = x.session.floor.Max(p)
-		x.session.floorKnown = true
-	}
-}
-
 // refused deals with an owner's refusal; nil means that the caller has been told.
 func (x *exchange) refused(f frame.Frame) *outcome.Refusal {
 	f.Type = frame.ErrorResponse
--- a/entry/owner/watch.go
+++ b/entry/owner/watch.go
@@ -104,7 +104,8 @@
 func (g *group) learn(r watch.Report) {
 	state := g.owner.View.Group(g.name)
 	configured, _, _ := g.owner.View.Configured(g.name)
-	counted := watch.Group{Slots: len(configured.Slots), Primary: state.GetPrimarySlot(), Admitted: map[string]string{}, PrimaryOnly: !configured.NeedsMajority()}
+	leased := g.owner.View.AckTerm(time.Now(), g.name) == r.Position.Term
+	counted := watch.Group{Leased: leased, Slots: len(configured.Slots), Primary: state.GetPrimarySlot(), Admitted: map[string]string{}, PrimaryOnly: !configured.NeedsMajority()}
 	for _, s := range state.GetServers() {
 		if s.GetAdmitted() {
 			counted.Admitted[s.GetSlot()] = s.GetIncarnation()
--- a/standin/history.go
+++ b/standin/history.go
@@ -64,6 +64,11 @@
 	return last.term, last.end
 }
 
+// promote makes the server lead a term, if its data is that of the given incarnation.
+func (h *history) promote(term uint64, incarnation string) bool {
+	return h.incarnation == incarnation && h.lead(term)
+}
+
 // lead makes the server the primary of a term; it is idempotent and refuses earlier terms.
 func (h *history) lead(term uint64) bool {
 	h.mu.Lock()
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -26,7 +26,7 @@
 	outcomePattern   = regexp.MustCompile(`(?is)^UPDATE trefoil_request_keys SET outcome = '(.*)' WHERE key = '(.+)'$`)
 	firstPattern     = regexp.MustCompile(`(?is)^SELECT outcome FROM trefoil_request_keys WHERE key = '(.+)'$`)
 	sleepPattern     = regexp.MustCompile(`(?is)^SELECT pg_sleep\(([0-9.]+)\)$`)
-	promotePattern   = regexp.MustCompile(`(?is)^SELECT trefoil_promote\((\d+)\)$`)
+	promotePattern   = regexp.MustCompile(`(?is)^SELECT trefoil_promote\((\d+), '([^']*)'\)$`)
 	followPattern    = regexp.MustCompile(`(?is)^SELECT trefoil_follow\((\d+), '([^']+)'\)$`)
 	copyInPattern    = regexp.MustCompile(`(?is)^COPY ledger(?: \(id, body\))? FROM STDIN`)
 	copyOutPattern   = regexp.MustCompile(`(?is)^COPY ledger TO STDOUT`)
@@ -229,7 +229,7 @@
 	}
 	if m := promotePattern.FindStringSubmatch(query); m != nil {
 		term, _ := strconv.ParseUint(m[1], 10, 64)
-		return c.rows(describe, textFields("ok"), [][]string{{fmt.Sprint(c.server.history.lead(term))}})
+		return c.rows(describe, textFields("ok"), [][]string{{fmt.Sprint(c.server.history.promote(term, m[2]))}})
 	}
 	if m := followPattern.FindStringSubmatch(query); m != nil {
 		term, _ := strconv.ParseUint(m[1], 10, 64)
--- a/trefoil/files.go
+++ b/trefoil/files.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"slices"
 
+	"github.com/spf13/cobra"
+
 	"trefoilcourse/coord/config"
 	"trefoilcourse/wire"
 )
@@ -43,6 +45,18 @@
 	return objects, len(faults) == 0, nil
 }
 
+// checkedObjects reads and checks files; faults end a command before it changes anything.
+func checkedObjects(c *cobra.Command, paths []string) ([]*wire.Object, error) {
+	objects, ok, err := readObjects(c.ErrOrStderr(), paths)
+	switch {
+	case err != nil:
+		return nil, failed(err)
+	case !ok:
+		return nil, failed(errFaults)
+	}
+	return objects, nil
+}
+
 // warn names what is allowed and has a price.
 func warn(w io.Writer, set *config.Set) {
 	var names []string
--- a/trefoil/publish.go
+++ b/trefoil/publish.go
@@ -24,12 +24,9 @@
 		Long:  "Every fault is printed at once, with its file, line and column, and how to mend it.",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			objects, ok, err := readObjects(c.ErrOrStderr(), args)
-			switch {
-			case err != nil:
-				return failed(err)
-			case !ok:
-				return failed(errFaults)
+			objects, err := checkedObjects(c, args)
+			if err != nil {
+				return err
 			}
 			_, err = fmt.Fprintf(c.OutOrStdout(), "%d objects are good\n", len(objects))
 			return err
@@ -50,12 +47,9 @@
 		Example: "  trefoil publish --control 10.0.0.1:7100 config/",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			objects, ok, err := readObjects(c.ErrOrStderr(), args)
-			switch {
-			case err != nil:
-				return failed(err)
-			case !ok:
-				return failed(errFaults)
+			objects, err := checkedObjects(c, args)
+			if err != nil {
+				return err
 			}
 			request := &wire.PublishRequest{Id: id, Author: author, Objects: objects}
 			return n.run(c, func(ctx context.Context, client *control.Client) error {
--- a/trefoil/show.go
+++ b/trefoil/show.go
@@ -73,12 +73,9 @@
 		Long:  "Ends with status 0 when nothing would change and with 1 when something would.",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			objects, ok, err := readObjects(c.ErrOrStderr(), args)
-			switch {
-			case err != nil:
-				return failed(err)
-			case !ok:
-				return failed(errFaults)
+			objects, err := checkedObjects(c, args)
+			if err != nil {
+				return err
 			}
 			return n.run(c, func(ctx context.Context, client *control.Client) error {
 				current, err := client.Configuration(ctx)
