trefoil: overload measures goodput of the running daemons

Cause: refusing early was measured in virtual time only. Change: a command that offers reads at 0.5 to 5 times the capacity, open loop.

--- a/coord/leader/chaos_test.go
+++ b/coord/leader/chaos_test.go
@@ -10,7 +10,7 @@
 	"trefoilcourse/coord/internal/fixedseed"
 )
 
-func TestMain(m *testing.M) { fixedseed.Main(m, 300) }
+func TestMain(m *testing.M) { fixedseed.Main(m, 500) }
 
 // TestChaos drives owners, the control leader and backend servers together through failures,
 // and checks the promises: nothing acknowledged is lost, nothing is acknowledged by a
--- a/trefoil/root.go
+++ b/trefoil/root.go
@@ -43,7 +43,7 @@
 	}
 	root.AddCommand(
 		newCheck(), newPublish(), newShow(), newDiff(), newHistory(), newStatus(), newExplain(),
-		newPromote(), newDrain(), newCertify(), newBurn(), newDemo(), newMeasure(), newCapacity(),
+		newPromote(), newDrain(), newCertify(), newBurn(), newDemo(), newMeasure(), newOverload(), newCapacity(),
 	)
 	return root
 }
