entry/caller: a flood before an owner answers takes no memory

Cause: read again as a newcomer: frames of a caller were kept without bound while no owner had been found yet.

--- a/entry/caller/exchange.go
+++ b/entry/caller/exchange.go
@@ -88,6 +88,9 @@
 	refused := runs && statement.Classify(text) == statement.SessionState
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for x.stream == nil && x.keptSize > maxBatchBytes && !x.over && !x.hungUp {
+		c.moved.Wait()
+	}
 	if x.over {
 		return false
 	}
@@ -189,6 +192,7 @@
 		return false
 	}
 	x.stream = stream
+	c.moved.Broadcast()
 	x.writer = frame.NewWriter(stream)
 	x.parses = nil
 	for _, s := range x.kept {
@@ -335,6 +339,7 @@
 	c.server.Metrics.Request(service, done, time.Since(x.began), limit)
 	c.mu.Lock()
 	x.over = true
+	c.moved.Broadcast()
 	if c.active == x {
 		c.active = nil
 	}
@@ -350,6 +355,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.hungUp = true
+	c.moved.Broadcast()
 	if x.stream != nil {
 		_ = x.stream.SetDeadline(time.Now())
 		_ = x.stream.Close()
--- a/entry/caller/session.go
+++ b/entry/caller/session.go
@@ -48,17 +48,21 @@
 	floorKnown bool
 	statements map[string]named
 	active     *exchange
+	// moved is signalled when the active exchange has found an owner or is over.
+	moved *sync.Cond
 
 	writing sync.Mutex
 	writer  *frame.Writer
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	return &connection{
+	c := &connection{
 		server: s, conn: conn,
 		reader: frame.NewReader(conn), writer: frame.NewWriter(conn),
 		statements: map[string]named{}, deadline: defaultDeadline,
 	}
+	c.moved = sync.NewCond(&c.mu)
+	return c
 }
 
 func (c *connection) close() {
