control: every sender of one publish gets its answer

Cause: read again: of two calls with one publish id at once, the first lost its place to the second and was told after 3 s to send again. Change: all wait. Before: the first waited 3 s; after: 40 calls with 4 ids at once get one accepted version and its answer ten times. Conclusion: kept, with a test.

--- a/control/server.go
+++ b/control/server.go
@@ -55,7 +55,7 @@
 	leader      *leader.Leader
 	snapshot    *wire.LogSnapshot
 	peers       map[string]*peer
-	waiting     map[string]chan *wire.PublishResult
+	waiting     map[string][]chan *wire.PublishResult
 	commanded   map[string]uint64
 	querying    map[string]bool
 	leadingTerm uint64
@@ -118,7 +118,7 @@
 	s.machine = state.New()
 	s.leader = &leader.Leader{State: s.machine, Owners: s.Owners}
 	s.peers = map[string]*peer{}
-	s.waiting = map[string]chan *wire.PublishResult{}
+	s.waiting = map[string][]chan *wire.PublishResult{}
 	s.commanded = map[string]uint64{}
 	s.querying = map[string]bool{}
 	s.node = &raft.Node{Self: s.key(), Seed: uint64(now.UnixNano())}
@@ -283,12 +283,13 @@
 }
 
 func (s *Server) answerPublish(result *wire.PublishResult) {
-	waiter := s.waiting[result.GetId()]
-	if result == nil || waiter == nil {
+	if result == nil {
 		return
 	}
+	for _, waiter := range s.waiting[result.GetId()] {
+		waiter <- result
+	}
 	delete(s.waiting, result.GetId())
-	waiter <- result
 }
 
 // leaderAddress returns where the leader listens as far as this VM knows, or "".
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -21,13 +21,12 @@
 	return log
 }
 
-// TestStopUnderLoad: calls that are under way when a control VM stops must not keep it from
-// stopping; a stop once waited for calls that waited for the stopped loop.
-func TestStopUnderLoad(t *testing.T) {
+// start runs a single control VM and returns its address.
+func start(t *testing.T) (address string, ctx context.Context, stop func()) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	address := listener.Addr().String()
+	address = listener.Addr().String()
 	server := &control.Server{
 		Settings: control.Settings{VM: "c1", Listen: address, DataFolder: t.TempDir(), Peers: map[string]string{"c1": address}},
 		Listener: listener, Log: quiet(),
@@ -35,6 +34,58 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Run(ctx) }()
+	return address, ctx, func() {
+		cancel()
+		is.NoErr(<-ended)
+	}
+}
+
+// TestPublishTwiceAtOnce: whoever sends one publish several times at once gets one answer each
+// time, the same; of several publishes on one version one is accepted.
+func TestPublishTwiceAtOnce(t *testing.T) {
+	is := is.New(t)
+	address, ctx, stop := start(t)
+	defer stop()
+	results := make(chan *wire.PublishResult, 40)
+	var all sync.WaitGroup
+	for k := range 40 {
+		all.Go(func() {
+			client := &protorpc.Client{Address: address}
+			defer client.Close()
+			request := &wire.PublishRequest{Id: string(rune('a' + k%4)), Author: "operator"}
+			for ctx.Err() == nil {
+				response := &wire.PublishResponse{}
+				if client.Call(ctx, "Control.Publish", request, response) == nil && response.GetLeading() {
+					results <- response.GetResult()
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+	close(results)
+	accepted := map[string]int{}
+	refused := map[string]int{}
+	for r := range results {
+		if r.GetAccepted() {
+			is.Equal(r.GetVersion(), uint64(1))
+			accepted[r.GetId()]++
+		} else {
+			refused[r.GetId()]++
+		}
+	}
+	is.Equal(len(accepted), 1)
+	is.Equal(len(refused), 3)
+	for _, count := range accepted {
+		is.Equal(count, 10)
+	}
+}
+
+// TestStopUnderLoad: calls that are under way when a control VM stops must not keep it from
+// stopping; a stop once waited for calls that waited for the stopped loop.
+func TestStopUnderLoad(t *testing.T) {
+	address, ctx, stop := start(t)
 	var callers sync.WaitGroup
 	for range 32 {
 		callers.Go(func() {
@@ -46,7 +97,6 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	cancel()
-	is.NoErr(<-ended)
+	stop()
 	callers.Wait()
 }
--- a/control/service.go
+++ b/control/service.go
@@ -155,7 +155,7 @@
 		answer.Result = &wire.PublishResult{Id: r.GetId(), Reason: err.Error()}
 		return
 	}
-	s.waiting[r.GetId()] = waiter
+	s.waiting[r.GetId()] = append(s.waiting[r.GetId()], waiter)
 	s.node.Propose(data)
 }
 
