--- a/trefoil/internal/capacity/table.go
+++ b/trefoil/internal/capacity/table.go
@@ -48,7 +48,7 @@
 	return []row{
 		{"control leader", "one renewal a VM carries leases, findings, announcements, deltas", l.Memory, renewals, nodeBytes * nodes,
 			perSecond(l.Renewal, renewals) + perSecond(l.Tick, leaderTicksPerSec) + perSecond(l.Assign, moves) + perSecond(l.Publish, changes), false},
-		{"control follower", "replicated log: heartbeats ten times a second, a record for each change", l.WholeConfiguration, 10, 10 * 40, perSecond(l.Publish, changes), false},
+		{"control follower", "replicated log: heartbeats ten times a second, a record for each change (messages and bytes estimated)", l.WholeConfiguration, 10, 10 * 40, perSecond(l.Publish, changes), false},
 		{"entry VM, for control", "the same renewal from the VM's side, with its owned groups' polls", e.GroupMemory*owned + l.Whole + l.WholeConfiguration,
 			renewalsPerSec + owned*idlePollsPerSec, nodeBytes, perSecond(e.EntryIdle, 1) + perSecond(e.GroupIdle, owned), true},
 		{"entry VM, for callers", "a goroutine and two buffers for each caller", e.CallerMemory * callersEach, 0, 0, 0, false},
