--- a/control/internal/backend/client.go
+++ b/control/internal/backend/client.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"net"
 	"strconv"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/promote"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/wire/lsn"
@@ -43,7 +43,7 @@
 // Status asks the server at address; slots is the number of slots of the group. A server that
 // does not answer gives a status without an incarnation.
 func (c *Client) Status(ctx context.Context, slot, address string, slots int) promote.Status {
-	s := promote.Status{Slot: slot, Asked: time.Now()}
+	s := promote.Status{Slot: slot, Asked: clock.Now()}
 	conn, err := c.connect(ctx, address)
 	if err != nil {
 		return s
--- a/control/membership.go
+++ b/control/membership.go
@@ -1,64 +1,65 @@
 package control
 
 import (
-	"cmp"
-	"slices"
-
-	"google.golang.org/protobuf/proto"
-
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/raft"
+	"trefoilcourse/coord/roster"
 	"trefoilcourse/wire"
 )
 
-// maxVoterLag is how many entries behind a non-voter may be when it becomes a voter.
-const maxVoterLag = 8
+// welcome lets a control VM that asks to join take part without a vote.
+func (s *Server) welcome(newcomer *wire.ControlMember) {
+	if len(s.Settings.Seeds) == 0 && !s.expects(newcomer) {
+		return
+	}
+	s.change(roster.Join(s.node.Membership(), newcomer))
+}
 
-func sortMembers(members []*wire.ControlMember) []*wire.ControlMember {
-	slices.SortFunc(members, func(a, b *wire.ControlMember) int {
-		return cmp.Compare(raft.MemberKey(a), raft.MemberKey(b))
-	})
-	return members
+// expects reports whether the settings or the membership name the VM.
+func (s *Server) expects(newcomer *wire.ControlMember) bool {
+	for _, m := range s.node.Membership().GetMembers() {
+		if m.GetVm() == newcomer.GetVm() {
+			return true
+		}
+	}
+	return s.Settings.Peers[newcomer.GetVm()] != ""
 }
 
-// welcome lets a control VM with a new data folder take its predecessor's place: first the
-// predecessor, which forgot what it promised, leaves; then the newcomer joins without a vote.
-func (s *Server) welcome(newcomer *wire.ControlMember) {
-	current := s.node.Membership()
-	next := &wire.Membership{}
-	for _, m := range current.GetMembers() {
-		if raft.MemberKey(m) == raft.MemberKey(newcomer) {
-			return
+// tendMembership gives votes to learners that have caught up, and takes them from the silent.
+func (s *Server) tendMembership() {
+	now := clock.Now()
+	next, change := roster.Next(s.node.Membership(), func(key string) roster.Standing {
+		match := s.node.Match(key)
+		standing := roster.Standing{Started: match > 0, Silence: s.node.Silence(now, key)}
+		if commit := s.node.Commit(); match < commit {
+			standing.Lag = commit - match
 		}
-		if m.GetVm() != newcomer.GetVm() {
-			next.Members = append(next.Members, m)
+		if len(s.Settings.Seeds) == 0 {
+			// VMs that the settings name keep their votes however long they are silent.
+			standing.Silence = 0
 		}
-	}
-	if len(next.GetMembers()) == len(current.GetMembers()) && s.Settings.Peers[newcomer.GetVm()] == "" {
+		return standing
+	})
+	s.change(next, change)
+}
+
+func (s *Server) change(next *wire.Membership, change roster.Change) {
+	if next == nil {
 		return
 	}
-	joined := proto.CloneOf(newcomer)
-	joined.Voter = false
-	next.Members = sortMembers(append(next.Members, joined))
-	if _, err := s.node.ProposeMembership(next); err == nil {
-		s.Log.WithField("member", raft.MemberKey(joined)).Info("control VM joins without a vote")
+	if _, err := s.node.ProposeMembership(next); err != nil {
+		return
 	}
+	s.Log.WithFields(map[string]any{
+		"member": change.Member, "outcome": change.Outcome, "members": len(next.GetMembers()), "term": s.node.Term(),
+	}).Info("membership of the control VMs changes")
 }
 
-// tendMembership gives a vote to a non-voter that has synced nearly the whole log.
-func (s *Server) tendMembership() {
-	current := s.node.Membership()
-	for i, m := range current.GetMembers() {
-		if m.GetVoter() || s.node.Match(raft.MemberKey(m))+maxVoterLag < s.node.Commit() {
-			continue
-		}
-		if s.node.Match(raft.MemberKey(m)) == 0 {
-			continue
+func (s *Server) isVoter() bool {
+	for _, m := range s.node.Membership().GetMembers() {
+		if raft.MemberKey(m) == s.key() {
+			return m.GetVoter()
 		}
-		next := proto.CloneOf(current)
-		next.Members[i].Voter = true
-		if _, err := s.node.ProposeMembership(next); err == nil {
-			s.Log.WithField("member", raft.MemberKey(m)).Info("control VM gets its vote")
-		}
-		return
 	}
+	return false
 }
--- a/control/orders.go
+++ b/control/orders.go
@@ -2,17 +2,77 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"trefoilcourse/control/internal/backend"
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/leader"
 	"trefoilcourse/coord/promote"
 	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
 )
 
-const orderTimeout = 400 * time.Millisecond
+const (
+	orderTimeout = 400 * time.Millisecond
+	// platformTimeout is longer: whoever promotes an announced group's servers may be slow.
+	platformTimeout = 1500 * time.Millisecond
+)
+
+// Order tells a backend server to lead or to follow.
+type Order struct {
+	Group   string
+	Slot    string
+	Address string
+	// Primary is the recorded primary of the group.
+	Primary promote.Primary
+	// Upstream is the address of the server to follow.
+	Upstream string
+	// Holder and Token fence the order: a later holder has a higher token.
+	Holder string
+	Token  uint64
+	// Valid reports whether the order may still be sent.
+	Valid func() bool
+}
+
+// Backends speaks to backend servers; every order is idempotent.
+type Backends interface {
+	// Status asks a server; one that does not answer gives a status without an incarnation.
+	Status(ctx context.Context, group, slot, address string, slots int) promote.Status
+	// Promote orders a server to lead; ErrRefused says that it surely will not.
+	Promote(ctx context.Context, o Order) error
+	// Follow orders a server to follow the recorded primary.
+	Follow(ctx context.Context, o Order) error
+}
+
+// ErrRefused means that an order was refused for good.
+var ErrRefused = errors.New("the order is refused")
+
+// postgres is Backends over PostgreSQL's protocol.
+type postgres struct {
+	dialer protorpc.Dialer
+}
+
+func (p postgres) client(group string) *backend.Client {
+	return &backend.Client{Group: group, Dial: p.dialer.DialContext}
+}
+
+// Status implements Backends.
+func (p postgres) Status(ctx context.Context, group, slot, address string, slots int) promote.Status {
+	return p.client(group).Status(ctx, slot, address, slots)
+}
+
+// Promote implements Backends.
+func (p postgres) Promote(ctx context.Context, o Order) error {
+	return p.client(o.Group).Promote(ctx, o.Address, o.Primary.Term, o.Primary.Incarnations[o.Slot])
+}
+
+// Follow implements Backends.
+func (p postgres) Follow(ctx context.Context, o Order) error {
+	return p.client(o.Group).Follow(ctx, o.Address, o.Primary.Term, o.Upstream)
+}
 
 // act carries out one decision of the leader.
 func (s *Server) act(ctx context.Context, a leader.Action) {
@@ -42,10 +102,6 @@
 	s.Log.WithFields(map[string]any{"group": group, "slot": p.Slot, "term": p.Term}).Info("records primary")
 }
 
-func (s *Server) client(group string) *backend.Client {
-	return &backend.Client{Group: group, Dial: s.BackendDialer.DialContext}
-}
-
 // query asks slots for their status, one question to a slot at a time.
 func (s *Server) query(ctx context.Context, group string, slots []string) {
 	for _, slot := range slots {
@@ -64,9 +120,9 @@
 func (s *Server) ask(ctx context.Context, group, slot, address string, slots int) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	status := promote.Status{Slot: slot, Asked: time.Now()}
+	status := promote.Status{Slot: slot, Asked: clock.Now()}
 	if address != "" {
-		status = s.client(group).Status(callCtx, slot, address, slots)
+		status = s.Backends.Status(callCtx, group, slot, address, slots)
 	}
 	s.do(ctx, func(time.Time) {
 		delete(s.querying, group+"/"+slot)
@@ -75,46 +131,72 @@
 }
 
 func (s *Server) promote(ctx context.Context, group string, p promote.Primary) {
-	address := s.leader.Address(group, p.Slot)
-	s.order(ctx, group, p.Slot, address, func(ctx context.Context) error {
-		return s.client(group).Promote(ctx, address, p.Term, p.Incarnations[p.Slot])
-	})
+	timeout := orderTimeout
+	if s.leader.Announced(group) {
+		timeout = platformTimeout
+	}
+	o := s.newOrder(ctx, group, p.Slot, p)
+	s.order(ctx, o, timeout, func(ctx context.Context) error { return s.Backends.Promote(ctx, o) })
 }
 
 func (s *Server) follow(ctx context.Context, group, slot string) {
 	p := s.leader.Primary(group)
-	address := s.leader.Address(group, slot)
-	upstream := s.leader.Address(group, p.Slot)
-	if upstream == "" {
+	o := s.newOrder(ctx, group, slot, p)
+	o.Upstream = s.leader.Address(group, p.Slot)
+	if o.Upstream == "" {
 		return
 	}
-	s.order(ctx, group, slot, address, func(ctx context.Context) error {
-		return s.client(group).Follow(ctx, address, p.Term, upstream)
-	})
+	s.order(ctx, o, orderTimeout, func(ctx context.Context) error { return s.Backends.Follow(ctx, o) })
+}
+
+func (s *Server) newOrder(ctx context.Context, group, slot string, p promote.Primary) Order {
+	term := s.leadingTerm
+	return Order{
+		Group: group, Slot: slot, Address: s.leader.Address(group, slot), Primary: p,
+		Holder: s.Settings.VM, Token: term,
+		Valid: func() bool {
+			valid := false
+			s.do(ctx, func(now time.Time) { valid = s.leading(now) && s.leadingTerm == term })
+			return valid
+		},
+	}
 }
 
 // order runs one idempotent order to a slot unless one is under way; the machine repeats it
 // until the server's status shows that it was carried out.
-func (s *Server) order(ctx context.Context, group, slot, address string, f func(context.Context) error) {
-	key := "order/" + group + "/" + slot
-	if address == "" || s.querying[key] {
+func (s *Server) order(ctx context.Context, o Order, timeout time.Duration, f func(context.Context) error) {
+	key := "order/" + o.Group + "/" + o.Slot
+	if o.Address == "" || s.querying[key] {
 		return
 	}
 	s.querying[key] = true
 	s.metrics.orders.Add(1)
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		err := f(callCtx)
-		s.do(ctx, func(time.Time) {
+		s.do(ctx, func(now time.Time) {
 			delete(s.querying, key)
-			if err != nil {
-				s.metrics.failedOrders.Add(1)
-			}
+			s.ordered(now, o, err)
 		})
 	}()
 }
 
+func (s *Server) ordered(now time.Time, o Order, err error) {
+	log := s.Log.WithFields(map[string]any{
+		"group": o.Group, "slot": o.Slot, "term": o.Primary.Term, "token": o.Token, "primary": o.Primary.Slot,
+	})
+	if err == nil {
+		log.Info("order is carried out")
+		return
+	}
+	s.metrics.failedOrders.Add(1)
+	log.WithError(err).Warn("order fails")
+	if errors.Is(err, ErrRefused) {
+		s.leader.Refused(now, o.Group, o.Primary)
+	}
+}
+
 // operator carries out an operator's request.
 func (s *Server) operator(now time.Time, r *wire.OperatorRequest) *wire.OperatorResponse {
 	answer := &wire.OperatorResponse{Leading: true}
--- a/control/peers.go
+++ b/control/peers.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"trefoilcourse/coord/raft"
+	"trefoilcourse/coord/roster"
 	"trefoilcourse/wire"
 	"trefoilcourse/wire/protorpc"
 )
@@ -83,23 +84,30 @@
 	return ""
 }
 
-// join asks the peers until this VM is a voting member: a VM with an empty folder forms a
-// cluster only when every peer is there and empty too, so that a wiped VM never forms another.
+// join asks other control VMs until this one is a voting member that hears a leader. A VM with
+// an empty folder forms a system only together with every other founder, all of them empty, so
+// that a wiped VM never forms another.
 func (s *Server) join(ctx context.Context) error {
 	clients := map[string]*protorpc.Client{}
-	for vm, address := range s.Settings.Peers {
-		if vm != s.Settings.VM {
-			clients[vm] = &protorpc.Client{Address: address, Dialer: s.Dialer, Traffic: &s.traffic}
-			defer clients[vm].Close()
+	defer func() {
+		for _, client := range clients {
+			client.Close()
 		}
-	}
+	}()
 	for {
-		member := false
-		if !s.do(ctx, func(time.Time) { member = s.isVoter() }) {
+		settled := false
+		var members []string
+		if !s.do(ctx, func(time.Time) {
+			members = s.Settings.known()
+			settled = s.isVoter() && (s.node.LeaderKey() != "" || len(s.Settings.Seeds) == 0)
+			for _, m := range s.node.Membership().GetMembers() {
+				members = append(members, m.GetAddress())
+			}
+		}) {
 			return nil
 		}
-		if !member {
-			s.askPeers(ctx, clients)
+		if !settled {
+			s.askPeers(ctx, clients, members)
 		}
 		select {
 		case <-ctx.Done():
@@ -109,40 +117,77 @@
 	}
 }
 
-func (s *Server) isVoter() bool {
-	for _, m := range s.node.Membership().GetMembers() {
-		if raft.MemberKey(m) == s.key() {
-			return m.GetVoter()
+func (s *Server) self() *wire.ControlMember {
+	return &wire.ControlMember{
+		Vm: s.Settings.VM, Incarnation: s.store.Incarnation(), Address: s.Settings.advertised(),
+	}
+}
+
+// askPeers asks every known address at once, and then those that the answers name.
+func (s *Server) askPeers(ctx context.Context, clients map[string]*protorpc.Client, addresses []string) {
+	self := s.self()
+	empty := []*wire.ControlMember{proto.CloneOf(self)}
+	asked := map[string]bool{s.Settings.advertised(): true}
+	for len(addresses) > 0 {
+		var next []string
+		for _, answer := range s.askAll(ctx, clients, self, addresses, asked) {
+			members := answer.GetMembership().GetMembers()
+			for _, m := range members {
+				next = append(next, m.GetAddress())
+			}
+			if len(members) > 0 {
+				s.do(ctx, func(now time.Time) { s.adopt(now, answer.GetMembership()) })
+				empty = nil
+			} else if empty != nil && (answer.GetBootstrapping() || len(s.Settings.Seeds) == 0) {
+				empty = append(empty, answer.GetSelf())
+			}
 		}
+		addresses = next
+	}
+	if len(empty) > 0 {
+		s.do(ctx, func(now time.Time) {
+			if len(empty) == s.Settings.founders() {
+				s.form(now, empty)
+			}
+		})
 	}
-	return false
 }
 
-func (s *Server) askPeers(ctx context.Context, clients map[string]*protorpc.Client) {
-	self := &wire.ControlMember{
-		Vm: s.Settings.VM, Incarnation: s.store.Incarnation(), Address: s.Settings.Peers[s.Settings.VM],
-	}
-	everyone := []*wire.ControlMember{proto.CloneOf(self)}
-	for _, client := range clients {
-		answer := &wire.JoinResponse{}
-		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		err := client.Call(callCtx, "Agreement.Join", self, answer)
-		cancel()
-		if err != nil {
+// askAll returns the answers of those addresses that have not been asked yet.
+func (s *Server) askAll(ctx context.Context, clients map[string]*protorpc.Client, self *wire.ControlMember, addresses []string, asked map[string]bool) []*wire.JoinResponse {
+	answers := make(chan *wire.JoinResponse, len(addresses))
+	count := 0
+	for _, address := range addresses {
+		if asked[address] {
 			continue
 		}
-		if len(answer.GetMembership().GetMembers()) > 0 {
-			s.do(ctx, func(now time.Time) { s.adopt(now, answer.GetMembership()) })
-			return
+		asked[address] = true
+		client := clients[address]
+		if client == nil {
+			client = &protorpc.Client{Address: address, Dialer: s.Dialer, Traffic: &s.traffic}
+			clients[address] = client
+		}
+		count++
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			answer := &wire.JoinResponse{}
+			if client.Call(callCtx, "Agreement.Join", self, answer) != nil {
+				answer = nil
+			}
+			answers <- answer
+		}()
+	}
+	var got []*wire.JoinResponse
+	for range count {
+		if answer := <-answers; answer != nil {
+			got = append(got, answer)
 		}
-		everyone = append(everyone, answer.GetSelf())
-	}
-	if len(everyone) == len(s.Settings.Peers) {
-		s.do(ctx, func(now time.Time) { s.form(now, everyone) })
 	}
+	return got
 }
 
-// adopt takes the membership of a formed cluster if this life of the folder belongs to it.
+// adopt takes the membership of a formed system if this life of the folder belongs to it.
 func (s *Server) adopt(now time.Time, m *wire.Membership) {
 	for _, member := range m.GetMembers() {
 		if raft.MemberKey(member) == s.key() && member.GetVoter() && !s.formed {
@@ -155,10 +200,7 @@
 	if s.formed {
 		return
 	}
-	for _, m := range members {
-		m.Voter = true
-	}
-	s.start(now, &wire.Membership{Members: sortMembers(members)})
+	s.start(now, roster.First(members))
 	s.Log.WithField("members", len(members)).Info("forms the control VMs")
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"trefoilcourse/control/internal/disk"
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/leader"
 	"trefoilcourse/coord/raft"
 	"trefoilcourse/coord/state"
@@ -25,6 +26,9 @@
 	ConfirmWithin = 6 * time.Second
 	// compactAfter is the number of log entries after which a snapshot replaces them.
 	compactAfter = 1024
+	// compactAfterBytes is the size of log entries after which a snapshot replaces them, a small
+	// part of the disk of a control VM.
+	compactAfterBytes = 2 << 20
 )
 
 // Server is one control VM; set the exported fields before Run.
@@ -37,6 +41,10 @@
 	Dialer protorpc.Dialer
 	// BackendDialer reaches backend servers; nil means Dialer, or plain TCP if that is nil too.
 	BackendDialer protorpc.Dialer
+	// Backends gives orders to backend servers; nil means PostgreSQL through BackendDialer.
+	Backends Backends
+	// Reload delivers changed settings; only the seeds are taken over while the server runs.
+	Reload <-chan Settings
 	// Owners is the number of entry VMs that own a group; 0 means leader.DefaultOwners.
 	Owners int
 	// Log receives changes of state; nil means the standard logger.
@@ -61,6 +69,7 @@
 	leadingTerm uint64
 	httpEnded   chan error
 	formed      bool
+	logBytes    int
 }
 
 func (s *Server) prepare() {
@@ -78,6 +87,9 @@
 		if s.BackendDialer == nil {
 			s.BackendDialer = &net.Dialer{}
 		}
+		if s.Backends == nil {
+			s.Backends = postgres{s.BackendDialer}
+		}
 		if s.Dialer == nil {
 			s.Dialer = s.plainOrTLS()
 		}
@@ -103,7 +115,7 @@
 	}
 	defer func() { _ = store.Close() }()
 	s.store = store
-	if err := s.restart(time.Now()); err != nil {
+	if err := s.restart(clock.Now()); err != nil {
 		return trace.Wrap(err)
 	}
 	return s.serve(ctx)
@@ -177,16 +189,20 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case next := <-s.Reload:
+			s.Settings.Seeds = next.Seeds
+			s.Log.WithField("seeds", next.Seeds).Info("reloads its settings")
 		case call := <-s.calls:
-			call(time.Now())
+			call(clock.Now())
 		case <-ticker.C:
-			s.tick(ctx, time.Now())
+			s.tick(ctx, clock.Now())
 		}
 	}
 }
 
 // do runs f in the loop and waits for it; false means that the server has ended or ctx has.
 func (s *Server) do(ctx context.Context, f func(now time.Time)) bool {
+	s.prepare()
 	done := make(chan struct{})
 	call := func(now time.Time) {
 		f(now)
@@ -267,6 +283,7 @@
 		}
 	}
 	for _, entry := range e.Committed {
+		s.logBytes += len(entry.GetData())
 		if entry.GetKind() != wire.EntryKind_ENTRY_KIND_COMMAND {
 			continue
 		}
@@ -276,8 +293,9 @@
 		}
 		s.answerPublish(result)
 	}
-	if len(e.Committed) > 0 && s.node.LogLength() > compactAfter {
+	if len(e.Committed) > 0 && (s.node.LogLength() > compactAfter || s.logBytes > compactAfterBytes) {
 		s.node.Compact(s.machine.Snapshot())
+		s.logBytes = 0
 	}
 	return nil
 }
--- a/control/service.go
+++ b/control/service.go
@@ -59,9 +59,8 @@
 func (a *agreementService) Join(newcomer *wire.ControlMember, answer *wire.JoinResponse) error {
 	s := a.s
 	ok := s.do(context.Background(), func(time.Time) {
-		answer.Self = &wire.ControlMember{
-			Vm: s.Settings.VM, Incarnation: s.store.Incarnation(), Address: s.Settings.Peers[s.Settings.VM],
-		}
+		answer.Self = s.self()
+		answer.Bootstrapping = s.Settings.Bootstrap
 		if !s.formed {
 			return
 		}
@@ -89,6 +88,9 @@
 			return
 		}
 		proto.Merge(answer, s.leader.Renew(now, r))
+		for _, m := range s.node.Membership().GetMembers() {
+			answer.ControlAddresses = append(answer.ControlAddresses, m.GetAddress())
+		}
 	})
 	if !ok {
 		return errEnded
@@ -169,6 +171,7 @@
 		}
 		answer.Leading = true
 		answer.Version = s.machine.Version()
+		answer.Document = s.machine.Document()
 		answer.Objects = s.machine.Objects()
 		answer.History = s.machine.History()
 	})
@@ -212,3 +215,27 @@
 	}
 	return nil
 }
+
+// Announce takes a backend server's announcement; an answer other than leading says who leads.
+func (s *Server) Announce(ctx context.Context, a *wire.Announcement) (leading bool, leaderAddress string) {
+	ok := s.do(ctx, func(now time.Time) {
+		if leading = s.leading(now); leading {
+			s.leader.Announce(now, a)
+		} else {
+			leaderAddress = s.leaderAddress()
+		}
+	})
+	return ok && leading, leaderAddress
+}
+
+// Publish does what the method of the same name does for the system's processes.
+func (s *Server) Publish(r *wire.PublishRequest) (*wire.PublishResponse, error) {
+	answer := &wire.PublishResponse{}
+	return answer, (&controlService{s}).Publish(r, answer)
+}
+
+// Configuration returns the objects in force, the history and the document published last.
+func (s *Server) Configuration() (*wire.ConfigurationResponse, error) {
+	answer := &wire.ConfigurationResponse{}
+	return answer, (&controlService{s}).Configuration(&wire.ConfigurationRequest{}, answer)
+}
--- a/control/settings.go
+++ b/control/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 
 	"trefoilcourse/coord/settings"
 	"trefoilcourse/wire/identity"
@@ -16,7 +17,12 @@
 	// HTTP serves /healthz and /debug/vars; empty serves neither.
 	HTTP       string            `json:"http,omitempty"`
 	DataFolder string            `json:"data-folder"`
-	Peers      map[string]string `json:"peers"`
+	Peers      map[string]string `json:"peers,omitempty"`
+	// Seeds are hosts or addresses of some control VMs, instead of Peers: the others are learned
+	// from them. All control VMs listen on the port of Listen.
+	Seeds []string `json:"seeds,omitempty"`
+	// Bootstrap says that the whole system starts for the first time: the seeds form it.
+	Bootstrap bool `json:"bootstrap,omitempty"`
 	// TLS is used among the system's processes; nil leaves them in plain text.
 	TLS *identity.Files `json:"tls,omitempty"`
 }
@@ -37,6 +43,12 @@
 		return fmt.Errorf("vm is empty; give this control VM a name")
 	case s.DataFolder == "":
 		return fmt.Errorf("data-folder is empty; name the folder that keeps the log")
+	case len(s.Seeds) > 0 && len(s.Peers) > 0:
+		return fmt.Errorf("both peers and seeds are listed; list one kind")
+	case len(s.Seeds) > 0:
+		if _, _, err := net.SplitHostPort(s.Listen); err != nil {
+			return fmt.Errorf("listen %q: %w", s.Listen, err)
+		}
 	case len(s.Peers)%2 == 0:
 		return fmt.Errorf("peers lists %d control VMs; list an odd number, this one included", len(s.Peers))
 	case s.Peers[s.VM] == "":
@@ -57,3 +69,53 @@
 	}
 	return nil
 }
+
+// advertised is where other control VMs reach this one.
+func (s Settings) advertised() string {
+	if len(s.Seeds) > 0 {
+		return s.Listen
+	}
+	return s.Peers[s.VM]
+}
+
+// known returns the addresses of control VMs that the settings name, but for this VM's own.
+func (s Settings) known() []string {
+	var addresses []string
+	for vm, address := range s.Peers {
+		if vm != s.VM {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, seed := range s.seedAddresses() {
+		if seed != s.Listen {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+// founders returns how many control VMs form the system at its first start; 0 means that this
+// VM is none of them.
+func (s Settings) founders() int {
+	if len(s.Seeds) == 0 {
+		return len(s.Peers)
+	}
+	if !s.Bootstrap || !slices.Contains(s.seedAddresses(), s.Listen) {
+		return 0
+	}
+	return len(s.Seeds)
+}
+
+// seedAddresses puts the agreement port in place of a seed's own, if it has one.
+func (s Settings) seedAddresses() []string {
+	_, port, _ := net.SplitHostPort(s.Listen)
+	var addresses []string
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			host = seed
+		}
+		addresses = append(addresses, net.JoinHostPort(host, port))
+	}
+	return addresses
+}
--- a/coord/config/check.go
+++ b/coord/config/check.go
@@ -10,6 +10,7 @@
 	maxNameBytes          = 63
 	maxSlots              = 9
 	minConnections        = 12
+	minAnnounced          = 4
 	maxConnections        = 10_000
 	maxStaleness          = 24 * 60 * 60 * 1000
 	maxWaitMilliseconds   = 5_000
@@ -20,7 +21,7 @@
 
 // Kinds returns the names of all kinds.
 func Kinds() []string {
-	return []string{KindDatabaseGroup, KindObjective, KindReadPolicy, KindService, KindStalenessAllowance}
+	return []string{KindDatabase, KindDatabaseGroup, KindObjective, KindReadPolicy, KindService, KindStalenessAllowance}
 }
 
 func fieldsOf(kind string) []string {
@@ -30,6 +31,7 @@
 		KindReadPolicy:         reflect.TypeFor[ReadPolicy](),
 		KindStalenessAllowance: reflect.TypeFor[StalenessAllowance](),
 		KindObjective:          reflect.TypeFor[Objective](),
+		KindDatabase:           reflect.TypeFor[Database](),
 	}
 	var names []string
 	for _, field := range reflect.VisibleFields(types[kind]) {
@@ -83,11 +85,33 @@
 		c.within(o, "milliseconds", c.set.Allowances[name].Milliseconds, 1, maxStaleness)
 	case KindObjective:
 		c.checkObjective(o, c.set.Objectives[name])
+	case KindDatabase:
+		c.checkDatabase(o, c.set.Databases[name])
 	}
 }
 
+func (c *checker) checkDatabase(o Parsed, d Database) {
+	group, ok := c.set.Groups[d.Group]
+	c.reference(o, KindDatabaseGroup, d.Group, ok)
+	if ok && !group.Announced {
+		c.fault(o, fmt.Sprintf("database-group %q is not announced", d.Group), "reach it by its own name or set announced")
+	}
+	switch d.Consistency {
+	case ConsistencyPrimary, ConsistencyBounded, ConsistencySession:
+	default:
+		c.fault(o, fmt.Sprintf("consistency %q does not exist", d.Consistency), "use primary, bounded or session")
+	}
+	if d.StalenessAllowance != "" {
+		_, ok := c.set.Allowances[d.StalenessAllowance]
+		c.reference(o, KindStalenessAllowance, d.StalenessAllowance, ok)
+	}
+	c.within(o, "statement-milliseconds", d.StatementMilliseconds, 1, maxLatencyMillisecond)
+}
+
 func (c *checker) checkGroup(o Parsed, g DatabaseGroup) {
-	if len(g.Slots) == 0 || len(g.Slots) > maxSlots || len(g.Slots)%2 == 0 {
+	if g.Announced {
+		c.checkAnnounced(o, g)
+	} else if len(g.Slots) == 0 || len(g.Slots) > maxSlots || len(g.Slots)%2 == 0 {
 		c.fault(o, fmt.Sprintf("%d slots are listed", len(g.Slots)), fmt.Sprintf("list an odd number up to %d", maxSlots))
 	}
 	c.unique(o, "slot", g.Slots)
@@ -96,7 +120,11 @@
 			c.fault(o, fmt.Sprintf("slot %q is not in kebab case", slot), "use lower-case letters, digits and hyphens")
 		}
 	}
-	c.within(o, "connections", g.Connections, minConnections, maxConnections)
+	least := minConnections
+	if g.Announced {
+		least = minAnnounced
+	}
+	c.within(o, "connections", g.Connections, least, maxConnections)
 	switch g.Acknowledge {
 	case "", AcknowledgeMajority, AcknowledgePrimaryOnly:
 	default:
@@ -104,6 +132,16 @@
 	}
 }
 
+func (c *checker) checkAnnounced(o Parsed, g DatabaseGroup) {
+	if len(g.Slots) > 0 {
+		c.fault(o, "an announced group lists slots", "remove the slots; its servers announce themselves")
+	}
+	if g.Acknowledge != AcknowledgePrimaryOnly {
+		c.fault(o, "an announced group cannot wait for a majority of its slots", "set acknowledge to primary-only")
+	}
+	c.within(o, "synchronous-replicas", g.SynchronousReplicas, 0, maxSlots)
+}
+
 func (c *checker) checkService(o Parsed, s Service) {
 	if len(s.Groups) == 0 {
 		c.fault(o, "the service has no group", "list at least one database-group")
--- a/coord/config/object.go
+++ b/coord/config/object.go
@@ -13,6 +13,14 @@
 	KindReadPolicy         = "read-policy"
 	KindStalenessAllowance = "staleness-allowance"
 	KindObjective          = "objective"
+	KindDatabase           = "database"
+)
+
+// The values of a database's consistency field.
+const (
+	ConsistencyPrimary = "primary"
+	ConsistencyBounded = "bounded"
+	ConsistencySession = "session"
 )
 
 // The values of a database group's acknowledge field.
@@ -35,6 +43,22 @@
 	Slots       []string `json:"slots"`
 	Connections int      `json:"connections"`
 	Acknowledge string   `json:"acknowledge,omitempty"`
+	// Announced groups have no fixed slots: their servers are those that announce themselves,
+	// the platform that runs them promotes on request, and Connections is the limit of each.
+	Announced                     bool `json:"announced,omitempty"`
+	SynchronousReplicas           int  `json:"synchronous-replicas,omitempty"`
+	IdleInTransactionMilliseconds int  `json:"idle-in-transaction-milliseconds,omitempty"`
+}
+
+// Database is a name under which callers reach a group, with the consistency of its reads.
+type Database struct {
+	Group                 string `json:"group"`
+	Consistency           string `json:"consistency"`
+	StalenessAllowance    string `json:"staleness-allowance,omitempty"`
+	StatementMilliseconds int    `json:"statement-milliseconds"`
+	LatencyMilliseconds   int    `json:"latency-milliseconds,omitempty"`
+	// Priority is served first when it is lower; 0 is the first.
+	Priority int `json:"priority,omitempty"`
 }
 
 // NeedsMajority reports whether a write is acknowledged only once a majority of slots has it.
@@ -73,6 +97,7 @@
 	Policies   map[string]ReadPolicy
 	Allowances map[string]StalenessAllowance
 	Objectives map[string]Objective
+	Databases  map[string]Database
 }
 
 // Empty returns a set without objects.
@@ -80,7 +105,7 @@
 	return &Set{
 		Groups: map[string]DatabaseGroup{}, Services: map[string]Service{},
 		Policies: map[string]ReadPolicy{}, Allowances: map[string]StalenessAllowance{},
-		Objectives: map[string]Objective{},
+		Objectives: map[string]Objective{}, Databases: map[string]Database{},
 	}
 }
 
@@ -97,6 +122,8 @@
 		return put(s.Allowances, key, body)
 	case KindObjective:
 		return put(s.Objectives, key, body)
+	case KindDatabase:
+		return put(s.Databases, key, body)
 	}
 	return fmt.Errorf("kind %q does not exist", key.Kind)
 }
@@ -114,6 +141,8 @@
 		delete(s.Allowances, key.Name)
 	case KindObjective:
 		delete(s.Objectives, key.Name)
+	case KindDatabase:
+		delete(s.Databases, key.Name)
 	}
 }
 
@@ -159,3 +188,8 @@
 		Wait:      time.Duration(policy.WaitMilliseconds) * time.Millisecond,
 	}
 }
+
+// StalenessOf returns the age that a database's reads may have; 0 allows none.
+func (s *Set) StalenessOf(d Database) time.Duration {
+	return time.Duration(s.Allowances[d.StalenessAllowance].Milliseconds) * time.Millisecond
+}
--- /dev/null
+++ b/coord/dispatch/queue.go
@@ -0,0 +1,269 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// defaultLimit is the concurrency of a server that does not announce it.
+	defaultLimit = 2
+	// initialService is the service time assumed of a server that has not answered yet.
+	initialService = 10 * time.Millisecond
+	// serviceWeight is the inverse of the weight of a new service time in the running mean.
+	serviceWeight = 8
+	// remoteCost is what a read gains by staying in the owner's failure domain.
+	remoteCost = 3 * time.Millisecond
+	// primaryCost keeps reads that a replica could run away from the primary's slots.
+	primaryCost = 30 * time.Millisecond
+	// failureLimit is the number of failures in a row after which a server is left alone.
+	failureLimit = 2
+	// failurePause is how long a failing server is left alone: shorter than its restart.
+	failurePause = 500 * time.Millisecond
+	// maxWaiting bounds what waits for one group at one owner.
+	maxWaiting = 4096
+)
+
+// Server is a backend server of the group.
+type Server struct {
+	Slot          string
+	FailureDomain string
+	// Limit is the number of statements that it works on at once; 0 means unknown.
+	Limit   int
+	Primary bool
+	// Leaving servers get no new work.
+	Leaving bool
+}
+
+// Job is one statement that is to run.
+type Job struct {
+	ID       uint64
+	Priority int
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Time
+	// Slot is the only server that may run it, or empty.
+	Slot string
+	// Primary says that only the primary may run it.
+	Primary bool
+	// Avoid lists servers that have shown that they cannot run it.
+	Avoid []string
+	// Pinned jobs belong to a transaction under way, and go before all others.
+	Pinned bool
+}
+
+// Start tells which server runs a job.
+type Start struct {
+	Job  uint64
+	Slot string
+}
+
+// Reason says why a job is refused.
+type Reason int
+
+// The reasons of a refusal.
+const (
+	// NoServer means that no server may run it now.
+	NoServer Reason = iota
+	// TooLate means that its turn would come after its deadline.
+	TooLate
+	// Full means that too much waits.
+	Full
+)
+
+// Refusal is a job that is not run.
+type Refusal struct {
+	Job    uint64
+	Reason Reason
+	// Wait is how long it would have waited.
+	Wait time.Duration
+}
+
+type server struct {
+	Server
+	running  int
+	service  time.Duration
+	failures int
+	retryAt  time.Time
+}
+
+func (s *server) limit() int {
+	if s.Limit == 0 {
+		return defaultLimit
+	}
+	return s.Limit
+}
+
+// Queue is the work of one group; it is not safe for concurrent use.
+type Queue struct {
+	// FailureDomain is the owner's.
+	FailureDomain string
+
+	servers map[string]*server
+	waiting []Job
+}
+
+// SetServers says which servers there are now; what runs on one that is gone still counts
+// until it is done.
+func (q *Queue) SetServers(servers []Server) {
+	next := map[string]*server{}
+	for _, s := range servers {
+		known := q.servers[s.Slot]
+		if known == nil {
+			known = &server{service: initialService}
+		}
+		known.Server = s
+		next[s.Slot] = known
+	}
+	q.servers = next
+}
+
+// Waiting returns the number of jobs that wait.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Running returns the number of statements that run on a server.
+func (q *Queue) Running(slot string) int {
+	if s := q.servers[slot]; s != nil {
+		return s.running
+	}
+	return 0
+}
+
+// Submit takes a job, and starts it if a server is free.
+func (q *Queue) Submit(now time.Time, j Job) ([]Start, []Refusal) {
+	if !q.servable(now, j) {
+		return nil, []Refusal{{Job: j.ID, Reason: NoServer}}
+	}
+	if len(q.waiting) >= maxWaiting {
+		return nil, []Refusal{{Job: j.ID, Reason: Full}}
+	}
+	if wait := q.predict(j); now.Add(wait).After(j.Deadline) {
+		return nil, []Refusal{{Job: j.ID, Reason: TooLate, Wait: wait}}
+	}
+	at, _ := slices.BinarySearchFunc(q.waiting, j, func(a, b Job) int {
+		if c := order(a, b); c != 0 {
+			return c
+		}
+		return -1
+	})
+	q.waiting = slices.Insert(q.waiting, at, j)
+	return q.start(now)
+}
+
+// order puts transactions under way first, then the lower priority.
+func order(a, b Job) int {
+	if a.Pinned != b.Pinned {
+		if a.Pinned {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Priority, b.Priority)
+}
+
+// Done takes note that a job on a server has ended; ok says that the server answered.
+func (q *Queue) Done(now time.Time, slot string, took time.Duration, ok bool) ([]Start, []Refusal) {
+	if s := q.servers[slot]; s != nil {
+		s.running = max(0, s.running-1)
+		if ok {
+			s.failures = 0
+			s.service += (took - s.service) / serviceWeight
+		} else if s.failures++; s.failures >= failureLimit {
+			s.retryAt = now.Add(failurePause)
+		}
+	}
+	return q.start(now)
+}
+
+// Tick refuses what has waited too long or has lost its servers, and starts what may.
+func (q *Queue) Tick(now time.Time) ([]Start, []Refusal) { return q.start(now) }
+
+func (q *Queue) start(now time.Time) ([]Start, []Refusal) {
+	var started []Start
+	var refused []Refusal
+	kept := q.waiting[:0]
+	for _, j := range q.waiting {
+		switch s := q.choose(now, j); {
+		case !now.Before(j.Deadline):
+			refused = append(refused, Refusal{Job: j.ID, Reason: TooLate})
+		case s != nil:
+			s.running++
+			started = append(started, Start{j.ID, s.Slot})
+		case !q.servable(now, j):
+			refused = append(refused, Refusal{Job: j.ID, Reason: NoServer})
+		default:
+			kept = append(kept, j)
+		}
+	}
+	q.waiting = kept
+	return started, refused
+}
+
+// usable reports whether a server may run a job at all.
+func (s *server) usable(now time.Time, j Job) bool {
+	if j.Slot != "" {
+		return s.Slot == j.Slot
+	}
+	if s.Leaving && !j.Pinned || j.Primary && !s.Primary || slices.Contains(j.Avoid, s.Slot) {
+		return false
+	}
+	return j.Primary || !now.Before(s.retryAt)
+}
+
+func (q *Queue) servable(now time.Time, j Job) bool {
+	for _, s := range q.servers {
+		if s.usable(now, j) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the free server that is predicted to answer first, or nil.
+func (q *Queue) choose(now time.Time, j Job) *server {
+	var best *server
+	var bestCost time.Duration
+	for _, s := range q.servers {
+		if !s.usable(now, j) || s.running >= s.limit() {
+			continue
+		}
+		cost := s.service * time.Duration(s.running+1)
+		if s.FailureDomain != q.FailureDomain {
+			cost += remoteCost
+		}
+		if s.Primary {
+			cost += primaryCost
+		}
+		if best == nil || cost < bestCost || cost == bestCost && s.Slot < best.Slot {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// predict returns how long a job would wait for its answer: what goes before it on the servers
+// that may run it, and its own service.
+func (q *Queue) predict(j Job) time.Duration {
+	ahead := 0
+	for _, w := range q.waiting {
+		if order(w, j) <= 0 && w.Primary == j.Primary {
+			ahead++
+		}
+	}
+	var rate float64
+	var service time.Duration
+	for _, s := range q.servers {
+		if s.usable(time.Time{}, j) || j.Slot == s.Slot {
+			ahead += s.running
+			rate += float64(s.limit()) / float64(max(s.service, time.Millisecond))
+			if service == 0 || s.service < service {
+				service = s.service
+			}
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	wait := time.Duration(float64(ahead)/rate) - service
+	return max(0, wait) + service
+}
--- /dev/null
+++ b/coord/dispatch/queue_test.go
@@ -0,0 +1,86 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/coord/dispatch"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func queue() *dispatch.Queue {
+	q := &dispatch.Queue{FailureDomain: "d1"}
+	q.SetServers([]dispatch.Server{
+		{Slot: "p", FailureDomain: "d1", Limit: 1, Primary: true},
+		{Slot: "r", FailureDomain: "d2", Limit: 1},
+	})
+	return q
+}
+
+func TestReadsLeaveThePrimaryToWrites(t *testing.T) {
+	is := is.New(t)
+	q := queue()
+	started, _ := q.Submit(at(0), dispatch.Job{ID: 1, Deadline: at(500)})
+	is.Equal(started, []dispatch.Start{{Job: 1, Slot: "r"}})
+	started, _ = q.Submit(at(0), dispatch.Job{ID: 2, Primary: true, Deadline: at(500)})
+	is.Equal(started, []dispatch.Start{{Job: 2, Slot: "p"}})
+}
+
+func TestUrgentWorkGoesFirst(t *testing.T) {
+	is := is.New(t)
+	q := queue()
+	_, _ = q.Submit(at(0), dispatch.Job{ID: 1, Primary: true, Priority: 1, Deadline: at(500)})
+	_, _ = q.Submit(at(0), dispatch.Job{ID: 2, Primary: true, Priority: 2, Deadline: at(500)})
+	_, _ = q.Submit(at(1), dispatch.Job{ID: 3, Primary: true, Priority: 1, Deadline: at(500)})
+	_, _ = q.Submit(at(2), dispatch.Job{ID: 4, Primary: true, Priority: 1, Deadline: at(500)})
+	_, _ = q.Submit(at(3), dispatch.Job{ID: 5, Slot: "p", Priority: 9, Pinned: true, Deadline: at(500)})
+	var order []uint64
+	for range 4 {
+		started, _ := q.Done(at(10), "p", 10*time.Millisecond, true)
+		order = append(order, started[0].Job)
+	}
+	is.Equal(order, []uint64{5, 3, 4, 2}) // a transaction under way, then priority, then arrival
+}
+
+func TestHopelessWorkIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := queue()
+	for id := range uint64(60) {
+		_, _ = q.Submit(at(0), dispatch.Job{ID: id, Primary: true, Deadline: at(5000)})
+	}
+	_, refused := q.Submit(at(0), dispatch.Job{ID: 99, Primary: true, Deadline: at(300)})
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Reason, dispatch.TooLate)
+	is.True(refused[0].Wait > 300*time.Millisecond)
+}
+
+func TestFailingReplicaIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	q := queue()
+	for id := range uint64(2) {
+		_, _ = q.Submit(at(0), dispatch.Job{ID: id, Deadline: at(500)})
+		_, _ = q.Done(at(1), "r", 0, false)
+	}
+	started, _ := q.Submit(at(2), dispatch.Job{ID: 7, Deadline: at(500)})
+	is.Equal(started, []dispatch.Start{{Job: 7, Slot: "p"}})
+	started, _ = q.Submit(at(600), dispatch.Job{ID: 8, Deadline: at(900)})
+	is.Equal(started, []dispatch.Start{{Job: 8, Slot: "r"}}) // tried again after a pause
+}
+
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	q := queue()
+	q.SetServers([]dispatch.Server{{Slot: "p", Limit: 1, Primary: true}, {Slot: "r", Limit: 1, Leaving: true}})
+	started, _ := q.Submit(at(0), dispatch.Job{ID: 1, Deadline: at(500)})
+	is.Equal(started, []dispatch.Start{{Job: 1, Slot: "p"}})
+	started, _ = q.Submit(at(0), dispatch.Job{ID: 2, Slot: "r", Pinned: true, Deadline: at(500)})
+	is.Equal(started, []dispatch.Start{{Job: 2, Slot: "r"}}) // a transaction there may end
+	q.SetServers([]dispatch.Server{{Slot: "p", Limit: 1, Primary: true}})
+	_, refused := q.Submit(at(0), dispatch.Job{ID: 3, Slot: "r", Pinned: true, Deadline: at(500)})
+	is.Equal(refused[0].Reason, dispatch.NoServer)
+}
--- a/coord/leader/groups.go
+++ b/coord/leader/groups.go
@@ -36,7 +36,12 @@
 
 func (l *Leader) tickGroup(now time.Time, name string, g *group) []Action {
 	for slot, s := range g.servers {
-		if now.Sub(s.heard) > serverLife {
+		switch {
+		case g.machine.Announced:
+			if now.Sub(s.heard) > announcedLife && slot != g.machine.Primary().Slot {
+				g.drop(slot)
+			}
+		case now.Sub(s.heard) > serverLife:
 			delete(g.servers, slot)
 		}
 	}
@@ -46,6 +51,10 @@
 	fenced := l.table.Fenced(now, name, g.machine.Primary().Term)
 	var actions []Action
 	for _, a := range g.machine.Tick(now, fenced) {
+		if a.Promote != nil && g.machine.Announced && l.table.Adopting(now) {
+			// An earlier leader's order may still be under way.
+			continue
+		}
 		actions = append(actions, Action{Group: name, Action: a})
 	}
 	l.publish(name, g)
@@ -58,10 +67,13 @@
 func (l *Leader) publish(name string, g *group) {
 	primary := g.machine.Primary()
 	limit := l.set.Groups[name].Connections - len(g.machine.Slots)*controlConnections
+	if g.machine.Announced {
+		limit = l.set.Groups[name].Connections - controlConnections
+	}
 	l.table.Set(name, lease.Group{
 		Term: g.machine.AckTerm(), Closing: g.machine.Closing(), Limit: limit, Owners: g.owners,
 	})
-	entry := &wire.GroupState{Group: name, Term: primary.Term, PrimarySlot: primary.Slot, Owners: g.owners}
+	entry := &wire.GroupState{Group: name, Term: primary.Term, PrimarySlot: primary.Slot, Owners: g.owners, Closing: g.machine.Closing()}
 	for _, slot := range g.machine.Slots {
 		s := g.servers[slot]
 		if s == nil {
@@ -71,7 +83,8 @@
 		entry.Servers = append(entry.Servers, &wire.Server{
 			Slot: slot, Incarnation: a.GetIncarnation(), Address: a.GetAddress(),
 			FailureDomain: a.GetFailureDomain(), Leaving: a.GetLeaving(),
-			Admitted: primary.Incarnations[slot] == a.GetIncarnation(),
+			Admitted:    primary.Incarnations[slot] == a.GetIncarnation(),
+			Concurrency: a.GetConcurrency(),
 		})
 	}
 	l.directory.putGroup(entry)
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -114,7 +114,10 @@
 			l.groups[name] = &group{machine: &promote.Group{Name: name}, servers: map[string]*server{}}
 			l.groups[name].machine.Lead(now, primaryOf(l.State, name))
 		}
-		l.groups[name].machine.Slots = g.Slots
+		l.groups[name].machine.Announced = g.Announced
+		if !g.Announced {
+			l.groups[name].machine.Slots = g.Slots
+		}
 		l.groups[name].dirty = true
 		l.publish(name, l.groups[name])
 	}
@@ -181,9 +184,21 @@
 	return response
 }
 
+// Announce takes a server's announcement that reached the control VMs directly.
+func (l *Leader) Announce(now time.Time, a *wire.Announcement) {
+	l.configure(now)
+	l.announce(now, a)
+	if g := l.groups[a.GetGroup()]; g != nil {
+		l.publish(a.GetGroup(), g)
+	}
+}
+
 func (l *Leader) announce(now time.Time, a *wire.Announcement) {
 	g := l.groups[a.GetGroup()]
-	if g == nil || !slices.Contains(g.machine.Slots, a.GetSlot()) {
+	if g == nil || g.machine.Announced && !g.admit(a) {
+		return
+	}
+	if !slices.Contains(g.machine.Slots, a.GetSlot()) {
 		return
 	}
 	g.dirty = g.dirty || news(g.servers[a.GetSlot()], a)
@@ -202,7 +217,8 @@
 	o := old.announcement
 	return o.GetIncarnation() != a.GetIncarnation() || o.GetAddress() != a.GetAddress() ||
 		o.GetFailureDomain() != a.GetFailureDomain() || o.GetPrimary() != a.GetPrimary() ||
-		o.GetTerm() != a.GetTerm() || o.GetLeaving() != a.GetLeaving()
+		o.GetTerm() != a.GetTerm() || o.GetLeaving() != a.GetLeaving() ||
+		o.GetConcurrency() != a.GetConcurrency()
 }
 
 func (l *Leader) observe(now time.Time, r *wire.RenewRequest) {
@@ -293,3 +309,17 @@
 	g.dirty = true
 	return g.machine.Force(now, slot, acceptLoss)
 }
+
+// Announced reports whether a group's servers announce themselves.
+func (l *Leader) Announced(name string) bool {
+	g := l.groups[name]
+	return g != nil && g.machine.Announced
+}
+
+// Refused takes note that a server refused for good to lead as the recorded primary.
+func (l *Leader) Refused(now time.Time, name string, p promote.Primary) {
+	if g := l.groups[name]; g != nil {
+		g.machine.Refused(now, p)
+		g.dirty = true
+	}
+}
--- a/coord/promote/choose.go
+++ b/coord/promote/choose.go
@@ -8,7 +8,14 @@
 	"trefoilcourse/coord/session"
 )
 
-const repairInterval = time.Second
+const (
+	repairInterval = time.Second
+	// announcedGrace is how long a choice waits for the last replicas of an announced group:
+	// what the missing one holds may be lost with the choice.
+	announcedGrace = 300 * time.Millisecond
+	// handOverGrace is how long replicas may take to receive what a reachable primary holds.
+	handOverGrace = 800 * time.Millisecond
+)
 
 // tickFirst records the first primary of a group once a majority of its slots has answered.
 func (g *Group) tickFirst(now time.Time) []Action {
@@ -35,15 +42,25 @@
 func (g *Group) tickChoosing(now time.Time) []Action {
 	answers := g.answersSince(g.since)
 	needed := len(g.Slots)/2 + 1
+	if g.Announced {
+		needed = 1
+	}
 	enough := len(answers) >= needed || g.acceptLoss && len(answers) > 0
 	if !enough {
 		g.note = fmt.Sprintf("%d of %d slots answer with the data they promised to keep; %d are needed, or an operator accepts loss", len(answers), len(g.Slots), needed)
 		return g.query(now)
 	}
-	if g.missesFollower(answers) && now.Sub(g.since) < chooseGrace {
+	grace := chooseGrace
+	if g.Announced {
+		grace = announcedGrace
+	}
+	if g.missesFollower(answers) && now.Sub(g.since) < grace {
+		return g.query(now)
+	}
+	if g.behindOld(answers) && now.Sub(g.since) < handOverGrace {
 		return g.query(now)
 	}
-	best, ok := g.best(g.withoutOld(answers, needed))
+	best, ok := g.best(g.staying(g.withoutOld(answers, needed)))
 	if !ok {
 		g.note = fmt.Sprintf("slot %q, which an operator chose, does not hold every acknowledged write", g.forced)
 		return g.query(now)
@@ -84,6 +101,41 @@
 	return answers
 }
 
+// behindOld reports whether the old primary of an announced group answers and is ahead of all
+// others, which may still receive the rest from it.
+func (g *Group) behindOld(answers []Status) bool {
+	if !g.Announced {
+		return false
+	}
+	old, highest := session.Position{}, session.Position{}
+	for _, s := range answers {
+		if s.Slot == g.primary.Slot {
+			old = s.Position
+		} else if highest.Less(s.Position) {
+			highest = s.Position
+		}
+	}
+	return highest.Less(old)
+}
+
+// staying leaves out servers that leave or that another server's term has overtaken, unless no
+// other answers.
+func (g *Group) staying(answers []Status) []Status {
+	if !g.Announced {
+		return answers
+	}
+	var kept []Status
+	for _, s := range answers {
+		if !g.announced[s.Slot].Leaving {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		return answers
+	}
+	return kept
+}
+
 func (g *Group) answersSince(at time.Time) []Status {
 	var answers []Status
 	for _, slot := range g.Slots {
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -3,6 +3,8 @@
 import (
 	_ "embed" // reads the state chart
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"trefoilcourse/coord/chart"
@@ -29,11 +31,15 @@
 	checkTimeout    = 300 * time.Millisecond
 	chooseGrace     = 100 * time.Millisecond
 	queryInterval   = 250 * time.Millisecond
+	// announcedQueryInterval is shorter, since callers wait for the choice alone.
+	announcedQueryInterval = 100 * time.Millisecond
 	// announcementLife is how old an announcement may be to count as a sign of life.
 	announcementLife = 3 * time.Second
 	orderTimeout     = 1500 * time.Millisecond
-	vetoLife         = 2 * time.Second
-	vetoLimit        = 3
+	// announcedOrderTimeout lets a platform take its time: a second choice costs as much again.
+	announcedOrderTimeout = 4 * time.Second
+	vetoLife              = 2 * time.Second
+	vetoLimit             = 3
 	// closingLimit is how long requests under way may keep a leaving primary in place.
 	closingLimit = 30 * time.Second
 )
@@ -102,8 +108,12 @@
 type Group struct {
 	// Name is the group's name.
 	Name string
-	// Slots are the configured slots.
+	// Slots are the configured slots, or those of the servers that announce themselves.
 	Slots []string
+	// Announced groups acknowledge at the primary only and are promoted by their platform, which
+	// chooses the term: the recorded term orders changes, and servers' terms are compared with
+	// one another alone.
+	Announced bool
 
 	state        string
 	since        time.Time
@@ -138,8 +148,12 @@
 // AckTerm returns the term in which owners may acknowledge writes, or 0 while that may change.
 func (g *Group) AckTerm() uint64 {
 	switch g.State() {
-	case Steady, Checking, Closing, Ordering:
+	case Steady, Checking, Closing:
 		return g.primary.Term
+	case Ordering:
+		if !g.Announced {
+			return g.primary.Term
+		}
 	}
 	return 0
 }
@@ -169,6 +183,12 @@
 	g.announced[s.Slot] = s
 }
 
+// Forget drops a server that is gone.
+func (g *Group) Forget(slot string) {
+	delete(g.announced, slot)
+	delete(g.statuses, slot)
+}
+
 // Answer takes note of a server's status.
 func (g *Group) Answer(s Status) {
 	if g.statuses == nil {
@@ -201,6 +221,13 @@
 	g.since = now
 }
 
+// Refused takes note that the recorded primary will not lead: another is chosen.
+func (g *Group) Refused(now time.Time, p Primary) {
+	if g.State() == Ordering && p.Term == g.primary.Term {
+		g.step(now, "failed")
+	}
+}
+
 // Force starts a change of primary on an operator's word; with acceptLoss a majority is not
 // waited for, and slot, if not empty, is taken.
 func (g *Group) Force(now time.Time, slot string, acceptLoss bool) error {
@@ -283,10 +310,13 @@
 	staying := 0
 	for slot, a := range g.announced {
 		fresh := now.Sub(a.Asked) < announcementLife
-		if slot != g.primary.Slot && fresh && !a.Leaving && g.counts(a) && a.Term == g.primary.Term {
+		if slot != g.primary.Slot && fresh && !a.Leaving && g.counts(a) && (g.Announced || a.Term == g.primary.Term) {
 			staying++
 		}
 	}
+	if g.Announced {
+		return staying > 0
+	}
 	return staying > len(g.Slots)/2
 }
 
@@ -338,24 +368,34 @@
 }
 
 func (g *Group) healthy(s Status) bool {
+	if g.Announced {
+		return s.Primary && s.Incarnation != "" && s.Term >= highestTerm(slices.Collect(maps.Values(g.statuses)))
+	}
 	return s.Primary && s.Followed && s.Term == g.primary.Term && g.counts(s)
 }
 
 // counts reports whether a server still has the data that its slot promised to keep.
 func (g *Group) counts(s Status) bool {
+	if g.Announced {
+		return s.Incarnation != ""
+	}
 	return s.Incarnation != "" && g.primary.Incarnations[s.Slot] == s.Incarnation
 }
 
 func (g *Group) tickOrdering(now time.Time) []Action {
 	g.note = fmt.Sprintf("ordering slot %q to lead term %d", g.primary.Slot, g.primary.Term)
 	s, ok := g.statuses[g.primary.Slot]
-	if ok && !s.Asked.Before(g.since) && s.Primary && s.Term == g.primary.Term && g.counts(s) {
+	if ok && !s.Asked.Before(g.since) && g.leads(s) {
 		g.step(now, "promoted")
 		g.note = ""
 		return g.repair(now)
 	}
-	wiped := ok && !s.Asked.Before(g.since) && s.Incarnation != "" && !g.counts(s)
-	if wiped || now.Sub(g.since) >= orderTimeout {
+	wiped := !g.Announced && ok && !s.Asked.Before(g.since) && s.Incarnation != "" && !g.counts(s)
+	limit := orderTimeout
+	if g.Announced {
+		limit = announcedOrderTimeout
+	}
+	if wiped || now.Sub(g.since) >= limit {
 		g.step(now, "failed")
 		return nil
 	}
@@ -366,13 +406,18 @@
 	return append([]Action{{Promote: &p}}, g.query(now)...)
 }
 
+// leads reports whether a server carries out the order to lead the recorded term.
+func (g *Group) leads(s Status) bool {
+	return s.Primary && g.counts(s) && (g.Announced || s.Term == g.primary.Term)
+}
+
 // repair gives orders again that a server has not carried out, admits servers that caught up,
 // and keeps statuses fresh.
 func (g *Group) repair(now time.Time) []Action {
 	var actions []Action
 	for _, slot := range g.Slots {
 		s, ok := g.statuses[slot]
-		late := ok && s.Term < g.primary.Term && now.Sub(s.Asked) < 2*repairInterval
+		late := ok && !g.Announced && s.Term < g.primary.Term && now.Sub(s.Asked) < 2*repairInterval
 		switch {
 		case now.Before(g.nextQuery) || !ok || s.Incarnation == "":
 		case slot == g.primary.Slot && (late || !s.Primary) && g.counts(s):
@@ -385,20 +430,26 @@
 	if now.Before(g.nextQuery) {
 		return nil
 	}
-	if p, ok := g.admission(now); ok {
+	if p, ok := g.admission(now); ok && !g.Announced {
 		actions = append(actions, Action{Record: &p})
 	}
 	g.nextQuery = now.Add(repairInterval)
-	if g.needsRepair() {
+	if g.needsRepair(now) {
 		actions = append(actions, Action{Query: g.Slots})
 	}
 	return actions
 }
 
 // needsRepair reports whether a server's announcement is not as it should be.
-func (g *Group) needsRepair() bool {
+func (g *Group) needsRepair(now time.Time) bool {
 	for _, a := range g.announced {
 		isPrimary := a.Slot == g.primary.Slot
+		if g.Announced {
+			if a.Primary != isPrimary && now.Sub(a.Asked) < announcementLife {
+				return true
+			}
+			continue
+		}
 		if !g.counts(a) || a.Term != g.primary.Term || a.Primary != isPrimary {
 			return true
 		}
@@ -411,6 +462,9 @@
 		return nil
 	}
 	g.nextQuery = now.Add(queryInterval)
+	if g.Announced {
+		g.nextQuery = now.Add(announcedQueryInterval)
+	}
 	return []Action{{Query: g.Slots}}
 }
 
--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -65,6 +65,7 @@
 	n.role = Leader
 	n.leader = n.Self
 	n.ledSince = now
+	n.at = now
 	n.round = 0
 	n.roundSent = map[uint64]time.Time{}
 	n.progress = map[string]*progress{}
@@ -83,7 +84,7 @@
 	for _, member := range n.membership.GetMembers() {
 		key := MemberKey(member)
 		if key != n.Self && n.progress[key] == nil {
-			n.progress[key] = &progress{next: n.log.last() + 1}
+			n.progress[key] = &progress{next: n.log.last() + 1, heard: n.at}
 		}
 	}
 }
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -39,6 +39,7 @@
 	next       uint64
 	match      uint64
 	ackedRound uint64
+	heard      time.Time
 }
 
 // Node is one control VM's part in the replicated log; set the exported fields before Restart.
@@ -75,6 +76,8 @@
 	roundSent   map[uint64]time.Time
 	nextRound   time.Time
 	ledSince    time.Time
+	// at is the time of the last tick.
+	at time.Time
 
 	effects Effects
 }
@@ -135,9 +138,19 @@
 	return 0
 }
 
+// Silence returns how long a leader has not heard from a member.
+func (n *Node) Silence(now time.Time, key string) time.Duration {
+	p := n.progress[key]
+	if p == nil || key == n.Self {
+		return 0
+	}
+	return now.Sub(p.heard)
+}
+
 // Tick lets time pass: it starts elections and rounds, and a leader that has lost touch with
 // its majority steps down.
 func (n *Node) Tick(now time.Time) {
+	n.at = now
 	if n.role == Leader {
 		n.tickLeader(now)
 		return
--- a/coord/raft/replicate.go
+++ b/coord/raft/replicate.go
@@ -189,6 +189,7 @@
 	if n.role != Leader || m.GetTerm() != n.term || p == nil {
 		return
 	}
+	p.heard = now
 	p.ackedRound = max(p.ackedRound, m.GetRound())
 	if m.GetReject() {
 		p.next = max(p.match+1, min(p.next-1, m.GetLogIndex()+1))
--- /dev/null
+++ b/coord/roster/roster.go
@@ -0,0 +1,106 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoilcourse/coord/raft"
+	"trefoilcourse/wire"
+)
+
+const (
+	// maxLag is how many entries behind a learner may be when it becomes a voter.
+	maxLag = 8
+	// silenceLimit is more than a restart takes, and less than a VM that comes in place of
+	// another is given to catch up.
+	silenceLimit = 3 * time.Second
+	// minVoters are enough to bear the loss of one.
+	minVoters = 3
+)
+
+// Standing is what the leader knows of a member.
+type Standing struct {
+	// Silence is how long it has not been heard.
+	Silence time.Duration
+	// Lag is the number of committed entries that it is not known to have synced.
+	Lag uint64
+	// Started reports that it has synced anything at all.
+	Started bool
+}
+
+// Change says what a new membership does.
+type Change struct {
+	// Member is the key of the control VM that it concerns.
+	Member string
+	// Outcome is joined, votes or left.
+	Outcome string
+}
+
+// Join returns the membership with a VM that asks to join as a learner, or nil if it belongs to
+// it already. A VM whose data folder is new takes the place of its predecessor, which forgot
+// what it promised.
+func Join(current *wire.Membership, newcomer *wire.ControlMember) (*wire.Membership, Change) {
+	next := &wire.Membership{}
+	for _, m := range current.GetMembers() {
+		if raft.MemberKey(m) == raft.MemberKey(newcomer) {
+			return nil, Change{}
+		}
+		if m.GetVm() != newcomer.GetVm() {
+			next.Members = append(next.Members, m)
+		}
+	}
+	joined := proto.CloneOf(newcomer)
+	joined.Voter = false
+	next.Members = append(next.Members, joined)
+	Sort(next.Members)
+	return next, Change{raft.MemberKey(joined), "joined"}
+}
+
+// Next returns the membership that the leader should propose, or nil.
+func Next(current *wire.Membership, standing func(key string) Standing) (*wire.Membership, Change) {
+	for i, m := range current.GetMembers() {
+		s := standing(raft.MemberKey(m))
+		if !m.GetVoter() && s.Started && s.Lag <= maxLag && s.Silence < silenceLimit {
+			next := proto.CloneOf(current)
+			next.Members[i].Voter = true
+			return next, Change{raft.MemberKey(m), "votes"}
+		}
+	}
+	voters := 0
+	for _, m := range current.GetMembers() {
+		if m.GetVoter() {
+			voters++
+		}
+	}
+	for i, m := range current.GetMembers() {
+		silent := standing(raft.MemberKey(m)).Silence >= silenceLimit
+		if silent && (!m.GetVoter() || voters > minVoters) {
+			next := proto.CloneOf(current)
+			next.Members = slices.Delete(next.Members, i, i+1)
+			return next, Change{raft.MemberKey(m), "left"}
+		}
+	}
+	return nil, Change{}
+}
+
+// First returns the membership of control VMs that start for the first time, in which all vote.
+func First(members []*wire.ControlMember) *wire.Membership {
+	m := &wire.Membership{}
+	for _, member := range members {
+		voter := proto.CloneOf(member)
+		voter.Voter = true
+		m.Members = append(m.Members, voter)
+	}
+	Sort(m.Members)
+	return m
+}
+
+// Sort puts members in the order of their keys.
+func Sort(members []*wire.ControlMember) {
+	slices.SortFunc(members, func(a, b *wire.ControlMember) int {
+		return cmp.Compare(raft.MemberKey(a), raft.MemberKey(b))
+	})
+}
--- /dev/null
+++ b/coord/roster/roster_test.go
@@ -0,0 +1,82 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/coord/raft"
+	"trefoilcourse/coord/roster"
+	"trefoilcourse/wire"
+)
+
+func member(vm, life string, voter bool) *wire.ControlMember {
+	return &wire.ControlMember{Vm: vm, Incarnation: life, Address: vm + ":1", Voter: voter}
+}
+
+func voters(vms ...string) *wire.Membership {
+	m := &wire.Membership{}
+	for _, vm := range vms {
+		m.Members = append(m.Members, member(vm, "1", true))
+	}
+	return m
+}
+
+func silent(keys ...string) func(string) roster.Standing {
+	return func(key string) roster.Standing {
+		s := roster.Standing{Started: true}
+		for _, k := range keys {
+			if k == key {
+				s.Silence = 10 * time.Second
+			}
+		}
+		return s
+	}
+}
+
+func keys(m *wire.Membership) (all []string) {
+	for _, member := range m.GetMembers() {
+		mark := ""
+		if member.GetVoter() {
+			mark = "+"
+		}
+		all = append(all, raft.MemberKey(member)+mark)
+	}
+	return all
+}
+
+func TestWipedFolderLosesItsVote(t *testing.T) {
+	is := is.New(t)
+	next, _ := roster.Join(voters("a", "b", "c"), member("b", "2", false))
+	is.Equal(keys(next), []string{"a/1+", "b/2", "c/1+"})
+	next, _ = roster.Join(next, member("b", "2", false))
+	is.True(next == nil)
+}
+
+func TestLearnerVotesWhenItHasTheLog(t *testing.T) {
+	is := is.New(t)
+	m, _ := roster.Join(voters("a", "b", "c"), member("d", "1", false))
+	next, _ := roster.Next(m, func(string) roster.Standing { return roster.Standing{Started: true, Lag: 100} })
+	is.True(next == nil)
+	next, _ = roster.Next(m, func(string) roster.Standing { return roster.Standing{} })
+	is.True(next == nil) // nothing of the log is known to be there
+	next, change := roster.Next(m, silent())
+	is.Equal(keys(next), []string{"a/1+", "b/1+", "c/1+", "d/1+"})
+	is.Equal(change.Outcome, "votes")
+}
+
+// TestReplacedThenAnotherLost has a VM replaced at a new address: once the newcomer votes the
+// silent one leaves, so that two of three remain when a second one is lost.
+func TestReplacedThenAnotherLost(t *testing.T) {
+	is := is.New(t)
+	next, _ := roster.Next(voters("a", "b", "c"), silent("c/1"))
+	is.True(next == nil) // three are the least
+	m, _ := roster.Join(voters("a", "b", "c"), member("d", "1", false))
+	m, _ = roster.Next(m, silent("c/1"))
+	m, change := roster.Next(m, silent("c/1"))
+	is.Equal(keys(m), []string{"a/1+", "b/1+", "d/1+"})
+	is.Equal(change, roster.Change{Member: "c/1", Outcome: "left"})
+	m, _ = roster.Join(m, member("c", "1", true))
+	is.Equal(keys(m), []string{"a/1+", "b/1+", "c/1", "d/1+"}) // back as a learner
+}
--- a/coord/state/machine.go
+++ b/coord/state/machine.go
@@ -27,6 +27,8 @@
 	primaries   map[string]*wire.Primary
 	recorded    uint64
 	oldestDelta uint64
+	number      uint64
+	document    []byte
 }
 
 // New returns the state before the first command.
@@ -37,6 +39,12 @@
 // Version returns the configuration version, 0 before the first publish.
 func (m *Machine) Version() uint64 { return m.version }
 
+// Number returns the operator's own number of the configuration in force, or 0.
+func (m *Machine) Number() uint64 { return m.number }
+
+// Document returns what the operator published, as it was sent; nil if nothing was kept.
+func (m *Machine) Document() []byte { return m.document }
+
 // Recorded counts the changes of primaries, so that a reader sees whether there were any.
 func (m *Machine) Recorded() uint64 { return m.recorded }
 
@@ -69,7 +77,21 @@
 	}
 }
 
+// applyNumbered takes a publish that has the highest number so far; any other is acknowledged
+// without effect, since one with a higher number has taken its place.
+func (m *Machine) applyNumbered(p *wire.PublishRequest) *wire.PublishResult {
+	result := &wire.PublishResult{Id: p.GetId(), Accepted: true, Version: m.version}
+	if p.GetNumber() > m.number {
+		m.number = p.GetNumber()
+		m.accept(p, result)
+	}
+	return result
+}
+
 func (m *Machine) applyPublish(p *wire.PublishRequest) *wire.PublishResult {
+	if p.GetNumber() > 0 {
+		return m.applyNumbered(p)
+	}
 	if earlier := m.Result(p.GetId()); earlier != nil {
 		return earlier
 	}
@@ -110,6 +132,7 @@
 
 func (m *Machine) accept(p *wire.PublishRequest, result *wire.PublishResult) {
 	m.version++
+	m.document = p.GetDocument()
 	changed := m.replace(p.GetObjects())
 	result.Accepted = true
 	result.Version = m.version
@@ -198,7 +221,7 @@
 
 // Snapshot returns the state encoded, equal for equal states.
 func (m *Machine) Snapshot() []byte {
-	s := &wire.ControlState{Version: m.version, Results: m.results, History: m.history, OldestDelta: m.oldestDelta}
+	s := &wire.ControlState{Version: m.version, Results: m.results, History: m.history, OldestDelta: m.oldestDelta, Number: m.number, Document: m.document}
 	s.Objects = slices.Collect(maps.Values(m.objects))
 	sortObjects(s.Objects)
 	for _, group := range slices.Sorted(maps.Keys(m.primaries)) {
@@ -224,6 +247,8 @@
 	m.results = s.GetResults()
 	m.history = s.GetHistory()
 	m.oldestDelta = s.GetOldestDelta()
+	m.number = s.GetNumber()
+	m.document = s.GetDocument()
 	for _, o := range s.GetObjects() {
 		m.objects[config.Key{Kind: o.GetKind(), Name: o.GetName()}] = o
 	}
--- a/entry/caller/session.go
+++ b/entry/caller/session.go
@@ -123,7 +123,7 @@
 		c.answerLocally(batch)
 	case class == statement.SessionState:
 		c.refuseBatch(batch, refusedState())
-	case !c.server.View.Confirmed(time.Now()):
+	case !c.server.View.Confirmed():
 		c.refuseBatch(batch, outcome.NotRun(outcome.Unconfirmed, "this entry VM cannot confirm its configuration", "Connect again; another one answers."))
 	default:
 		c.exchange(ctx, batch, class)
--- a/entry/caller/startup.go
+++ b/entry/caller/startup.go
@@ -123,7 +123,7 @@
 	if c.group == "" {
 		c.group = c.user
 	}
-	if !c.server.View.Confirmed(time.Now()) {
+	if !c.server.View.Confirmed() {
 		return outcome.NotRun(outcome.Unconfirmed, "this entry VM cannot confirm its configuration", "Connect again; another one answers.")
 	}
 	if _, _, ok := c.server.View.Configured(c.group); !ok {
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/entry/internal/view"
 	"trefoilcourse/wire"
 	"trefoilcourse/wire/protorpc"
@@ -34,7 +36,7 @@
 	Incarnation   string
 	FailureDomain string
 	LinkAddress   string
-	// Addresses are the control VMs'.
+	// Addresses are the control VMs' as the settings give them.
 	Addresses []string
 	// Dialer opens connections; nil means plain TCP.
 	Dialer protorpc.Dialer
@@ -90,6 +92,13 @@
 	return !full
 }
 
+// SetAddresses takes over addresses from changed settings.
+func (c *Client) SetAddresses(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Addresses = addresses
+}
+
 // SetDraining tells the control leader to give this VM no more groups.
 func (c *Client) SetDraining() {
 	c.mu.Lock()
@@ -149,8 +158,8 @@
 // renew makes one renewal and reports whether the next is wanted early.
 func (c *Client) renew(ctx context.Context) bool {
 	request, sent := c.request()
-	urgent := c.Reporter.Report(time.Now(), request)
-	asked := time.Now()
+	urgent := c.Reporter.Report(clock.Now(), request)
+	asked := clock.Now()
 	response, err := c.ask(ctx, request)
 	if err != nil {
 		c.mu.Lock()
@@ -200,8 +209,7 @@
 func (c *Client) ask(ctx context.Context, request *wire.RenewRequest) (*wire.RenewResponse, error) {
 	address := c.leader
 	if address == "" {
-		address = c.Addresses[c.preferred%len(c.Addresses)]
-		c.preferred++
+		address = c.candidate()
 	}
 	response, err := c.call(ctx, address, request)
 	if err != nil || !response.GetAccepted() {
@@ -224,6 +232,16 @@
 	return response, nil
 }
 
+// candidate returns the next control VM to ask: those last known to serve and those of the
+// settings take turns, since either list may be out of date.
+func (c *Client) candidate() string {
+	c.mu.Lock()
+	addresses := slices.Concat(c.View.ControlAddresses(), c.Addresses)
+	c.mu.Unlock()
+	c.preferred++
+	return addresses[c.preferred%len(addresses)]
+}
+
 func (c *Client) call(ctx context.Context, address string, request *wire.RenewRequest) (*wire.RenewResponse, error) {
 	client := c.clients[address]
 	if client == nil {
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/config"
 	"trefoilcourse/coord/lease"
 	"trefoilcourse/wire"
@@ -16,6 +17,9 @@
 
 // View is safe for concurrent use.
 type View struct {
+	// Clock tells the time by which leases end; nil means clock.Now.
+	Clock func() time.Time
+
 	mu       sync.Mutex
 	holder   lease.Holder
 	set      *config.Set
@@ -24,6 +28,7 @@
 	revision uint64
 	members  map[string]*wire.Member
 	groups   map[string]*wire.GroupState
+	control  []string
 	changed  chan struct{}
 }
 
@@ -35,6 +40,13 @@
 	}
 }
 
+func (v *View) now() time.Time {
+	if v.Clock == nil {
+		return clock.Now()
+	}
+	return v.Clock()
+}
+
 // Changed returns a channel that is closed at the next change.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.Lock()
@@ -71,6 +83,9 @@
 	}
 	v.takeObjects(r)
 	v.takeDirectory(r)
+	if c := r.GetControlAddresses(); len(c) > 0 {
+		v.control = c
+	}
 	v.notify()
 	return true
 }
@@ -120,11 +135,11 @@
 	v.revision = r.GetDirectoryRevision()
 }
 
-// Confirmed reports whether the configuration and the directory may be acted on at now.
-func (v *View) Confirmed(now time.Time) bool {
+// Confirmed reports whether the configuration and the directory may be acted on.
+func (v *View) Confirmed() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.version > 0 && v.epoch > 0 && now.Sub(v.holder.Confirmed()) < ConfirmWithin
+	return v.version > 0 && v.epoch > 0 && v.now().Sub(v.holder.Confirmed()) < ConfirmWithin
 }
 
 // Version returns the configuration version in force here.
@@ -149,6 +164,21 @@
 	return g, v.set.ReadingOf(name), ok
 }
 
+// ControlAddresses returns where the control VMs were last known to listen.
+func (v *View) ControlAddresses() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.control
+}
+
+// Database returns a named database with its group and the age that its reads may have.
+func (v *View) Database(name string) (d config.Database, g config.DatabaseGroup, staleness time.Duration, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	d, ok = v.set.Databases[name]
+	return d, v.set.Groups[d.Group], v.set.StalenessOf(d), ok
+}
+
 // ServiceOf returns the service of a group and its objective, if it has one.
 func (v *View) ServiceOf(group string) (string, config.Objective, bool) {
 	v.mu.Lock()
@@ -177,31 +207,31 @@
 }
 
 // AckTerm returns the term in which this VM may acknowledge writes of a group, or 0.
-func (v *View) AckTerm(now time.Time, group string) uint64 {
+func (v *View) AckTerm(group string) uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.holder.Term(now, group)
+	return v.holder.Term(v.now(), group)
 }
 
-// Connections returns how many connections of a group this VM may have open at now.
-func (v *View) Connections(now time.Time, group string) int {
+// Connections returns how many connections of a group this VM may have open now.
+func (v *View) Connections(group string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.holder.Connections(now, group)
+	return v.holder.Connections(v.now(), group)
 }
 
-// LeaseUntil returns when the lease on a group ends.
-func (v *View) LeaseUntil(group string) time.Time {
+// Leased reports whether this VM has a lease on a group.
+func (v *View) Leased(group string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.holder.Until(group)
+	return v.now().Before(v.holder.Until(group))
 }
 
-// Held returns the groups with a lease at now, by name.
-func (v *View) Held(now time.Time) []string {
+// Held returns the groups with a lease, by name.
+func (v *View) Held() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	names := v.holder.Groups(now)
+	names := v.holder.Groups(v.now())
 	slices.Sort(names)
 	return names
 }
--- a/entry/owner/durable.go
+++ b/entry/owner/durable.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return session.Position{}, err
 	}
-	if g.owner.View.AckTerm(time.Now(), g.name) != term {
+	if g.owner.View.AckTerm(g.name) != term {
 		return session.Position{}, errSuperseded
 	}
 	return done.Position, nil
--- a/entry/owner/group.go
+++ b/entry/owner/group.go
@@ -77,10 +77,10 @@
 
 // tend enforces the lease and reports whether the group is done with.
 func (g *group) tend(now time.Time) bool {
-	allowed := g.owner.View.Connections(now, g.name)
-	held := now.Before(g.owner.View.LeaseUntil(g.name))
+	allowed := g.owner.View.Connections(g.name)
+	held := g.owner.View.Leased(g.name)
 	g.pool.limit(allowed)
-	g.dropSuperseded(g.owner.View.AckTerm(now, g.name))
+	g.dropSuperseded(g.owner.View.AckTerm(g.name))
 	if !held {
 		g.refuseWaiting()
 		g.pool.close()
@@ -137,12 +137,12 @@
 
 // report tells the control leader what is held; the most that may be open from now on.
 func (g *group) report(now time.Time) (*wire.Holding, *wire.Observation) {
-	allowed := g.owner.View.Connections(now, g.name)
+	allowed := g.owner.View.Connections(g.name)
 	holding := &wire.Holding{
 		Group: g.name, Connections: uint32(max(g.pool.open(), allowed)), Demand: uint32(g.load()),
 	}
 	if allowed > 0 || g.load() > 0 {
-		holding.Term = g.owner.View.AckTerm(now, g.name)
+		holding.Term = g.owner.View.AckTerm(g.name)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -161,7 +161,7 @@
 
 // admit queues a unit of work or refuses it at once.
 func (g *group) admit(now time.Time, key string, deadline time.Time, t *ticket) *outcome.Refusal {
-	if g.owner.View.Connections(now, g.name) == 0 {
+	if g.owner.View.Connections(g.name) == 0 {
 		return notOwner(g.name)
 	}
 	g.mu.Lock()
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -52,13 +52,13 @@
 
 // tend brings the groups in line with the leases.
 func (o *Owner) tend(ctx context.Context, now time.Time) {
-	held := o.View.Held(now)
+	held := o.View.Held()
 	o.mu.Lock()
 	if o.groups == nil {
 		o.groups = map[string]*group{}
 	}
 	for _, name := range held {
-		if o.groups[name] == nil && o.View.Connections(now, name) > 0 {
+		if o.groups[name] == nil && o.View.Connections(name) > 0 {
 			o.groups[name] = newGroup(ctx, o, name)
 		}
 	}
@@ -112,7 +112,7 @@
 		if observation != nil {
 			r.Observations = append(r.Observations, observation)
 		}
-		if o.View.AckTerm(now, name) == 0 {
+		if o.View.AckTerm(name) == 0 {
 			urgent = true
 		}
 	}
--- a/entry/owner/read.go
+++ b/entry/owner/read.go
@@ -204,7 +204,7 @@
 }
 
 func (u *unit) stillLeads(conn *backend.Conn) error {
-	if u.group.owner.View.AckTerm(time.Now(), u.group.name) != conn.Term() {
+	if u.group.owner.View.AckTerm(u.group.name) != conn.Term() {
 		return errSuperseded
 	}
 	return nil
--- a/entry/owner/watch.go
+++ b/entry/owner/watch.go
@@ -104,7 +104,7 @@
 func (g *group) learn(r watch.Report) {
 	state := g.owner.View.Group(g.name)
 	configured, _, _ := g.owner.View.Configured(g.name)
-	leased := g.owner.View.AckTerm(time.Now(), g.name) == r.Position.Term
+	leased := g.owner.View.AckTerm(g.name) == r.Position.Term
 	counted := watch.Group{Leased: leased, Slots: len(configured.Slots), Primary: state.GetPrimarySlot(), Admitted: map[string]string{}, PrimaryOnly: !configured.NeedsMajority()}
 	for _, s := range state.GetServers() {
 		if s.GetAdmitted() {
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -65,7 +65,7 @@
 	if g.closing {
 		return errLeaving
 	}
-	if g.owner.View.AckTerm(time.Now(), g.name) != term {
+	if g.owner.View.AckTerm(g.name) != term {
 		return errNoLease
 	}
 	g.onPrimary++
--- /dev/null
+++ b/entry/runner/group.go
@@ -0,0 +1,305 @@
+package runner
+
+import (
+	"sync"
+	"time"
+
+	"trefoilcourse/coord/clock"
+	"trefoilcourse/coord/dispatch"
+	"trefoilcourse/coord/health"
+	"trefoilcourse/coord/route"
+	"trefoilcourse/coord/session"
+	"trefoilcourse/wire"
+)
+
+// closingLimit is how long transactions may keep a leaving primary; callers wait meanwhile.
+const closingLimit = 600 * time.Millisecond
+
+// group is one announced group that this VM owns.
+type group struct {
+	runner *Runner
+	name   string
+
+	mu      sync.Mutex
+	queue   dispatch.Queue
+	pools   map[string]*pool
+	starts  map[uint64]chan ticket
+	nextID  uint64
+	primary string
+	term    uint64
+	// seen are the primary's positions since the term began.
+	seen   route.Sightings
+	latest session.Position
+	health health.Primary
+	// onPrimary counts statements and transactions on the primary.
+	onPrimary    int
+	closingSince time.Time
+	probing      bool
+}
+
+// ticket tells a waiting statement which server runs it, or why none does.
+type ticket struct {
+	slot    string
+	refused *dispatch.Refusal
+}
+
+func newGroup(r *Runner, name string) *group {
+	g := &group{runner: r, name: name, pools: map[string]*pool{}, starts: map[uint64]chan ticket{}}
+	g.queue.FailureDomain = r.FailureDomain
+	return g
+}
+
+// tend follows the lease and the directory, and reports whether the group is done with.
+func (g *group) tend() bool {
+	allowed := g.runner.View.Connections(g.name)
+	if !g.runner.View.Leased(g.name) {
+		g.close()
+		return true
+	}
+	g.follow(g.runner.View.Group(g.name), allowed)
+	g.handOver()
+	g.judge()
+	g.probe()
+	g.mu.Lock()
+	started, refused := g.queue.Tick(clock.Now())
+	g.deliver(started, refused)
+	g.mu.Unlock()
+	return allowed == 0 && g.load() == 0 && g.opened() == 0
+}
+
+// follow brings servers, pools and the term in line with what the control leader says.
+func (g *group) follow(state *wire.GroupState, allowed int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if state.GetTerm() != g.term || state.GetPrimarySlot() != g.primary {
+		g.term, g.primary = state.GetTerm(), state.GetPrimarySlot()
+		g.seen, g.latest = route.Sightings{}, session.Position{}
+		g.health = health.Primary{}
+		g.closingSince = time.Time{}
+	}
+	if !state.GetClosing() {
+		g.closingSince = time.Time{}
+	} else if g.closingSince.IsZero() {
+		g.closingSince = clock.Now()
+	}
+	var servers []dispatch.Server
+	known := map[string]bool{}
+	for _, s := range state.GetServers() {
+		target := Target{Group: g.name, Slot: s.GetSlot(), Address: s.GetAddress()}
+		known[s.GetSlot()] = true
+		if p := g.pools[s.GetSlot()]; p == nil || p.target != target {
+			if p != nil {
+				go p.close()
+			}
+			g.pools[s.GetSlot()] = newPool(target)
+		}
+		g.pools[s.GetSlot()].tend(allowed)
+		isPrimary := s.GetSlot() == g.primary
+		servers = append(servers, dispatch.Server{
+			Slot: s.GetSlot(), FailureDomain: s.GetFailureDomain(), Limit: int(s.GetConcurrency()),
+			Primary: isPrimary, Leaving: s.GetLeaving() && !isPrimary || isPrimary && state.GetClosing(),
+		})
+	}
+	for slot, p := range g.pools {
+		if !known[slot] {
+			go p.close()
+			delete(g.pools, slot)
+		}
+	}
+	g.queue.SetServers(servers)
+	g.health.Known = known[g.primary]
+}
+
+// handOver gives the term up once a leaving primary has nothing under way, or has had its time.
+func (g *group) handOver() {
+	g.mu.Lock()
+	since, open, term := g.closingSince, g.onPrimary, g.term
+	g.mu.Unlock()
+	if since.IsZero() {
+		return
+	}
+	waited := clock.Now().Sub(since)
+	if open > 0 && waited < closingLimit {
+		return
+	}
+	if open > 0 && waited < 2*closingLimit {
+		g.runner.endQuiet(g, g.primary)
+		return
+	}
+	if g.runner.View.AckTerm(g.name) == term {
+		g.runner.View.Release(g.name, term)
+		g.runner.Log.WithFields(map[string]any{
+			"group": g.name, "term": term, "under-way": open, "waited-ms": waited.Milliseconds(),
+		}).Info("gives up a leaving primary")
+		g.runner.Poke()
+	}
+}
+
+func (g *group) closing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.closingSince.IsZero()
+}
+
+// judge decides what to report about the primary. A primary that is reported gets no more
+// acknowledgements from this VM, so that its successor need not wait for the lease.
+func (g *group) judge() {
+	g.mu.Lock()
+	term := g.term
+	usable, changed := g.health.Judge(clock.Now())
+	g.mu.Unlock()
+	if !changed || term == 0 {
+		return
+	}
+	if usable {
+		g.runner.View.Restore(g.name)
+	} else {
+		g.runner.View.Release(g.name, term)
+	}
+	g.runner.Log.WithFields(map[string]any{"group": g.name, "term": term, "primary": g.primary, "usable": usable}).Info("finding about the primary changes")
+	g.runner.Poke()
+}
+
+// report tells the control leader what is held and found.
+func (g *group) report() (*wire.Holding, *wire.Observation) {
+	allowed := g.runner.View.Connections(g.name)
+	holding := &wire.Holding{
+		Group: g.name, Connections: uint32(max(g.opened(), allowed)), Demand: uint32(g.load()),
+		Term: g.runner.View.AckTerm(g.name),
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.term == 0 {
+		return holding, nil
+	}
+	found := wire.PrimaryHealth_PRIMARY_HEALTH_GOOD
+	if g.health.Unusable() {
+		found = wire.PrimaryHealth_PRIMARY_HEALTH_UNREACHABLE
+	}
+	return holding, &wire.Observation{Group: g.name, Term: g.term, Health: found}
+}
+
+// opened returns the most connections that are open to one server.
+func (g *group) opened() int {
+	g.mu.Lock()
+	pools := make([]*pool, 0, len(g.pools))
+	for _, p := range g.pools {
+		pools = append(pools, p)
+	}
+	g.mu.Unlock()
+	most := 0
+	for _, p := range pools {
+		most = max(most, p.opened())
+	}
+	return most
+}
+
+// load returns the number of statements that run or wait.
+func (g *group) load() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running := g.queue.Waiting()
+	for slot := range g.pools {
+		running += g.queue.Running(slot)
+	}
+	return running
+}
+
+func (g *group) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.pools {
+		go p.close()
+	}
+	g.pools = map[string]*pool{}
+	g.queue.SetServers(nil)
+	started, refused := g.queue.Tick(clock.Now())
+	g.deliver(started, refused)
+}
+
+// deliver wakes the statements whose turn has come or never will; mu is held.
+func (g *group) deliver(started []dispatch.Start, refused []dispatch.Refusal) {
+	for _, s := range started {
+		g.starts[s.Job] <- ticket{slot: s.Slot}
+		delete(g.starts, s.Job)
+	}
+	for i := range refused {
+		g.starts[refused[i].Job] <- ticket{refused: &refused[i]}
+		delete(g.starts, refused[i].Job)
+	}
+}
+
+// turn waits until a server may run the job.
+func (g *group) turn(j dispatch.Job) ticket {
+	g.mu.Lock()
+	g.nextID++
+	j.ID = g.nextID
+	waiter := make(chan ticket, 1)
+	g.starts[j.ID] = waiter
+	started, refused := g.queue.Submit(clock.Now(), j)
+	g.deliver(started, refused)
+	g.mu.Unlock()
+	return <-waiter
+}
+
+// done gives a server's place to the next.
+func (g *group) done(slot string, took time.Duration, answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	started, refused := g.queue.Done(clock.Now(), slot, took, answered)
+	g.deliver(started, refused)
+}
+
+// standing is what the group is believed to be in at a moment.
+type standing struct {
+	term    uint64
+	primary string
+}
+
+// leads returns the term that this VM may act in, and the primary of it; false means that it
+// may not.
+func (g *group) leads() (standing, bool) {
+	g.mu.Lock()
+	at := standing{g.term, g.primary}
+	g.mu.Unlock()
+	return at, at.term != 0 && g.runner.View.AckTerm(g.name) == at.term
+}
+
+// stillLeads reports whether the lease that a statement began under still runs.
+func (g *group) stillLeads(at standing) bool {
+	now, ok := g.leads()
+	return ok && now == at
+}
+
+// learn takes note of a position that the primary had when it was asked.
+func (g *group) learn(at standing, asked time.Time, p session.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.term == at.term && !p.Less(g.latest) {
+		g.latest = p
+		g.seen.Record(asked, p)
+	}
+}
+
+// floor returns the position that a replica's log must have for a read that began at a time;
+// false means that only the primary is known to be fresh enough.
+func (g *group) floor(began time.Time, staleness time.Duration, own session.Position) (session.Position, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.seen.FloorAt(began.Add(-staleness))
+	if !ok || own.Term > p.Term {
+		return session.Position{}, false
+	}
+	// What an earlier term's primary acknowledged and this one's lacks is lost; the rest is at or
+	// below any position of this term.
+	if own.Term == p.Term && p.Less(own) {
+		p = own
+	}
+	return p, true
+}
+
+func (g *group) pool(slot string) *pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pools[slot]
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -168,7 +168,7 @@
 	s.links = &link.Pool{Dialer: s.LinkDialer}
 	s.client = &control.Client{
 		VM: s.Settings.VM, Incarnation: newIncarnation(), FailureDomain: s.Settings.FailureDomain,
-		LinkAddress: s.linkAddress(), Addresses: s.Settings.Control, Dialer: s.ControlDialer,
+		LinkAddress: s.linkAddress(), Addresses: s.Settings.control(), Dialer: s.ControlDialer,
 		View: s.view, Traffic: &s.traffic,
 	}
 	s.ordered = make(chan struct{})
@@ -267,7 +267,7 @@
 	switch {
 	case s.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case !s.view.Confirmed(time.Now()):
+	case !s.view.Confirmed():
 		http.Error(w, "configuration unconfirmed", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
@@ -286,7 +286,7 @@
 	for s.callers.Callers() > 0 || s.owner.Running() > 0 {
 		time.Sleep(drainPoll)
 	}
-	for deadline := time.Now().Add(handOverPause); time.Now().Before(deadline) && len(s.view.Held(time.Now())) > 0; {
+	for deadline := time.Now().Add(handOverPause); time.Now().Before(deadline) && len(s.view.Held()) > 0; {
 		time.Sleep(drainPoll)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), httpTimeout)
--- /dev/null
+++ b/entry/sessions/owners.go
@@ -0,0 +1,134 @@
+package sessions
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"trefoilcourse/coord/clock"
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+const (
+	// linkMargin is what a link may add to the time that an owner takes.
+	linkMargin = 300 * time.Millisecond
+	// ownerPause is how long the owners are left before they are all asked again.
+	ownerPause = 25 * time.Millisecond
+	// holdDivisor is the inverse of the share of a statement's time for which it is held while no
+	// owner may run it: after that its caller is told, with time left to try again.
+	holdDivisor = 3
+	// comeBack is when a caller may try again that no owner could serve: owners and primaries
+	// change within seconds.
+	comeBack = 300 * time.Millisecond
+)
+
+// anywhere has the first owner that may run a statement run it, and returns which it was.
+func (s *Sessions) anywhere(ctx context.Context, r *wire.StatementRequest) (*wire.StatementAnswer, string) {
+	d, _, _, ok := s.View.Database(r.GetDatabase())
+	if !ok {
+		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Code: noDatabase, Reason: "no database is named " + r.GetDatabase()}, ""
+	}
+	began := clock.Now()
+	limit := time.Duration(d.StatementMilliseconds) * time.Millisecond
+	last := &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: "no entry VM owns the group"}
+	for {
+		changed := s.View.Changed()
+		for _, vm := range s.owners(d.Group) {
+			a := s.askFor(ctx, vm, r, began, limit)
+			if !s.again(r, a) {
+				return a, vm
+			}
+			last = a
+		}
+		if clock.Now().Sub(began) >= limit/holdDivisor || !pause(ctx, changed) {
+			return &wire.StatementAnswer{
+				Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: last.GetReason(),
+				RetryMilliseconds: uint32(comeBack.Milliseconds()),
+			}, ""
+		}
+	}
+}
+
+// noDatabase marks the answer for a name that no database has.
+const noDatabase = "no-database"
+
+// again reports whether another owner may be asked: nothing has run, or nothing but a read that
+// stands alone or begins its transaction.
+func (s *Sessions) again(r *wire.StatementRequest, a *wire.StatementAnswer) bool {
+	reads := r.GetKind() == wire.StatementKind_STATEMENT_KIND_READ
+	switch a.GetDisposition() {
+	case wire.Disposition_DISPOSITION_ELSEWHERE:
+		return true
+	case wire.Disposition_DISPOSITION_UNKNOWN, wire.Disposition_DISPOSITION_ROLLED_BACK:
+		return reads && (r.GetUnit() == "" || r.GetBegins())
+	}
+	return false
+}
+
+func pause(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(ownerPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// at has the owner of a transaction run a further statement of it.
+func (s *Sessions) at(ctx context.Context, vm string, r *wire.StatementRequest) *wire.StatementAnswer {
+	d, _, _, ok := s.View.Database(r.GetDatabase())
+	limit := time.Duration(d.StatementMilliseconds) * time.Millisecond
+	if !ok {
+		// The route is gone; what was begun under it may still end.
+		limit = time.Second
+	}
+	return s.askFor(ctx, vm, r, clock.Now(), limit)
+}
+
+// askFor asks one owner, with the time that is left of the statement's.
+func (s *Sessions) askFor(ctx context.Context, vm string, r *wire.StatementRequest, began time.Time, limit time.Duration) *wire.StatementAnswer {
+	age := clock.Now().Sub(began)
+	left := limit - age
+	if left <= 0 {
+		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: "its time has passed"}
+	}
+	r.AgeMilliseconds = uint32(age.Milliseconds()) + 1
+	r.PatienceMilliseconds = uint32(left.Milliseconds()) + 1
+	if vm == s.VM {
+		return s.Local.Execute(ctx, r)
+	}
+	m := s.View.Member(vm)
+	if m == nil {
+		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_ELSEWHERE, Reason: "the owner is not up"}
+	}
+	s.Metrics.LinkStreams.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, left+linkMargin)
+	defer cancel()
+	a := &wire.StatementAnswer{}
+	err := s.link(m.GetLinkAddress()).Call(ctx, "Statements.Run", r, a)
+	if errors.Is(err, protorpc.ErrNotConnected) {
+		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_ELSEWHERE, Reason: err.Error()}
+	}
+	if err != nil {
+		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_UNKNOWN, Reason: "the owner was lost before it answered: " + err.Error()}
+	}
+	return a
+}
+
+// note logs a statement that was not answered by a server, with what decided that.
+func (s *Sessions) note(c *Session, r *wire.StatementRequest, a *wire.StatementAnswer) {
+	if a.GetDisposition() == wire.Disposition_DISPOSITION_UNKNOWN {
+		s.Metrics.Unknown.Add(1)
+	} else {
+		s.Metrics.NotRun.Add(a.GetDisposition().String(), 1)
+	}
+	s.Log.WithFields(map[string]any{
+		"request": r.GetId(), "session": c.id, "unit": r.GetUnit(), "database": r.GetDatabase(),
+		"statement": r.GetKind().String(), "outcome": a.GetDisposition().String(), "reason": a.GetReason(),
+		"age-ms": r.GetAgeMilliseconds(), "configuration": s.View.Version(),
+	}).Info("statement is not served")
+}
--- /dev/null
+++ b/entry/sessions/service.go
@@ -0,0 +1,57 @@
+package sessions
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+// Serve runs what other entry VMs send to this one as an owner, until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, e Executor) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Statements", &service{ctx, e}); err != nil {
+		return err
+	}
+	stopped := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stopped()
+	var open sync.WaitGroup
+	defer open.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		open.Go(func() {
+			defer stop()
+			server.ServeCodec(protorpc.NewServerCodec(conn, &protorpc.Traffic{}))
+		})
+	}
+}
+
+type service struct {
+	ctx      context.Context
+	executor Executor
+}
+
+// Run runs one statement.
+func (s *service) Run(r *wire.StatementRequest, a *wire.StatementAnswer) error {
+	got := s.executor.Execute(s.ctx, r)
+	a.Disposition, a.Rows, a.Signature = got.GetDisposition(), got.GetRows(), got.GetSignature()
+	a.Code, a.Message, a.State = got.GetCode(), got.GetMessage(), got.GetState()
+	a.Position, a.RetryMilliseconds, a.Reason = got.GetPosition(), got.GetRetryMilliseconds(), got.GetReason()
+	return nil
+}
+
+// End rolls a transaction back.
+func (s *service) End(r *wire.UnitRequest, _ *wire.Empty) error {
+	s.executor.End(r.GetUnit())
+	return nil
+}
--- /dev/null
+++ b/entry/sessions/session.go
@@ -0,0 +1,230 @@
+package sessions
+
+import (
+	"context"
+
+	"trefoilcourse/coord/session"
+	"trefoilcourse/entry/statement"
+	"trefoilcourse/wire"
+)
+
+type definition = statement.Definition
+
+// Session is one caller's session; it is used by one goroutine at a time.
+type Session struct {
+	sessions *Sessions
+	id       string
+	database string
+	values   map[string]string
+	prepared map[string]definition
+	floor    session.Position
+	state    statement.State
+	// unit is the transaction that the session is in; owner is empty until its first statement.
+	unit  transaction
+	tally int
+}
+
+type transaction struct {
+	id       string
+	owner    string
+	readOnly bool
+	wrote    bool
+}
+
+// State returns what the session is in.
+func (s *Session) State() statement.State {
+	if s.state == 0 {
+		return statement.Idle
+	}
+	return s.state
+}
+
+// Do has one statement run and says what became of it.
+func (s *Session) Do(ctx context.Context, q statement.Statement) statement.Answer {
+	a := s.do(ctx, q)
+	a.State = s.State()
+	return a
+}
+
+func (s *Session) do(ctx context.Context, q statement.Statement) statement.Answer {
+	ends := q.Kind == statement.Commit || q.Kind == statement.Rollback
+	switch {
+	case q.Kind == statement.Malformed:
+		return refuse(statement.Unreadable, "the statement cannot be read")
+	case s.State() == statement.Failed && !ends:
+		return refuse(statement.Unreadable, "the transaction has failed; end it first")
+	case s.State() == statement.Failed:
+		return s.endFailed(q.Kind)
+	}
+	switch q.Kind {
+	case statement.Set:
+		s.values[q.Name] = q.Value
+	case statement.Prepare:
+		s.prepared[q.Name] = q.Definition
+	case statement.Deallocate:
+		if _, ok := s.prepared[q.Name]; !ok {
+			return refuse(statement.NoStatement, "no prepared statement is named "+q.Name)
+		}
+		delete(s.prepared, q.Name)
+	case statement.Begin, statement.BeginReadOnly:
+		return s.begin(q.Kind == statement.BeginReadOnly)
+	case statement.Rollback:
+		return s.rollback()
+	default:
+		return s.run(ctx, q)
+	}
+	return statement.Answer{Outcome: statement.Done}
+}
+
+func refuse(o statement.Outcome, message string) statement.Answer {
+	return statement.Answer{Outcome: o, Message: message}
+}
+
+// begin opens a transaction; an owner and a server are chosen with its first statement.
+func (s *Session) begin(readOnly bool) statement.Answer {
+	if s.State() != statement.Idle {
+		return refuse(statement.Unreadable, "a transaction is open already")
+	}
+	if _, _, _, ok := s.sessions.View.Database(s.database); !ok {
+		return refuse(statement.NoDatabase, "no database is named "+s.database)
+	}
+	s.unit = transaction{id: s.sessions.name(), readOnly: readOnly}
+	s.state = statement.InTransaction
+	return statement.Answer{Outcome: statement.Done}
+}
+
+func (s *Session) rollback() statement.Answer {
+	if s.State() != statement.InTransaction {
+		return refuse(statement.Unreadable, "no transaction is open")
+	}
+	s.abandon()
+	s.state = statement.Idle
+	return statement.Answer{Outcome: statement.Done}
+}
+
+// endFailed ends a transaction that has failed, which rolls back whatever was asked for.
+func (s *Session) endFailed(k statement.Kind) statement.Answer {
+	s.abandon()
+	s.state = statement.Idle
+	if k == statement.Commit {
+		return refuse(statement.RolledBack, "the transaction had failed and is rolled back")
+	}
+	return statement.Answer{Outcome: statement.Done}
+}
+
+func (s *Session) abandon() {
+	if s.unit.owner != "" {
+		s.sessions.end(s.unit.owner, s.unit.id)
+	}
+	s.unit = transaction{}
+}
+
+// Close ends the session; a transaction that is open is rolled back.
+func (s *Session) Close() {
+	s.abandon()
+	s.state = statement.Idle
+}
+
+// run has an owner run a statement that concerns the database.
+func (s *Session) run(ctx context.Context, q statement.Statement) statement.Answer {
+	r := &wire.StatementRequest{
+		Session: s.id, Database: s.database, Id: q.ID, Text: q.Text, Floor: s.floor.Wire(),
+	}
+	switch q.Kind {
+	case statement.Write:
+		r.Kind = wire.StatementKind_STATEMENT_KIND_WRITE
+	case statement.Commit:
+		if s.State() != statement.InTransaction {
+			return refuse(statement.Unreadable, "no transaction is open")
+		}
+		r.Kind = wire.StatementKind_STATEMENT_KIND_COMMIT
+	case statement.Execute:
+		d, ok := s.prepared[q.Name]
+		if !ok {
+			return s.failed(refuse(statement.NoStatement, "no prepared statement is named "+q.Name))
+		}
+		r.Definition = d.Text
+		if d.Writes {
+			r.Kind = wire.StatementKind_STATEMENT_KIND_WRITE
+		}
+	}
+	for name, value := range s.values {
+		r.Settings = append(r.Settings, &wire.Setting{Name: name, Value: value})
+	}
+	if s.State() == statement.InTransaction {
+		return s.runInTransaction(ctx, r)
+	}
+	return s.runAlone(ctx, r)
+}
+
+// failed puts an open transaction into the failed state.
+func (s *Session) failed(a statement.Answer) statement.Answer {
+	if s.State() == statement.InTransaction {
+		s.abandon()
+		s.state = statement.Failed
+	}
+	return a
+}
+
+func (s *Session) runAlone(ctx context.Context, r *wire.StatementRequest) statement.Answer {
+	a, _ := s.sessions.anywhere(ctx, r)
+	return s.take(r, a)
+}
+
+func (s *Session) runInTransaction(ctx context.Context, r *wire.StatementRequest) statement.Answer {
+	r.Unit = s.unit.id
+	r.ReadsOnly = s.unit.readOnly
+	var a *wire.StatementAnswer
+	if s.unit.owner == "" {
+		r.Begins = true
+		a, s.unit.owner = s.sessions.anywhere(ctx, r)
+	} else {
+		a = s.sessions.at(ctx, s.unit.owner, r)
+	}
+	s.unit.wrote = s.unit.wrote || r.GetKind() == wire.StatementKind_STATEMENT_KIND_WRITE
+	commits := r.GetKind() == wire.StatementKind_STATEMENT_KIND_COMMIT
+	if a.GetDisposition() == wire.Disposition_DISPOSITION_UNKNOWN && (!commits || !s.unit.wrote) {
+		// Nothing commits a transaction but a commit, and that was not asked for or had nothing to keep.
+		a = &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_ROLLED_BACK, Reason: a.GetReason()}
+	}
+	answer := s.take(r, a)
+	stays := answer.Outcome == statement.Done || answer.Outcome == statement.ServerError
+	switch {
+	case stays && a.GetState() == "T":
+	case commits:
+		s.abandon()
+		s.state = statement.Idle
+	default:
+		s.abandon()
+		s.state = statement.Failed
+	}
+	return answer
+}
+
+// take turns an owner's answer into the caller's.
+func (s *Session) take(r *wire.StatementRequest, a *wire.StatementAnswer) statement.Answer {
+	answer := statement.Answer{
+		Rows: a.GetRows(), Signature: a.GetSignature(), Code: a.GetCode(), Message: a.GetMessage(),
+		RetryMilliseconds: a.GetRetryMilliseconds(), Position: session.FromWire(a.GetPosition()),
+	}
+	switch a.GetDisposition() {
+	case wire.Disposition_DISPOSITION_ANSWERED:
+		answer.Outcome = statement.Done
+		if a.GetCode() != "" {
+			answer.Outcome = statement.ServerError
+		} else if r.GetKind() != wire.StatementKind_STATEMENT_KIND_READ && s.floor.Less(answer.Position) {
+			s.floor = answer.Position
+		}
+		return answer
+	case wire.Disposition_DISPOSITION_NOT_RUN, wire.Disposition_DISPOSITION_ELSEWHERE:
+		answer.Outcome = statement.NotRun
+		if a.GetCode() == noDatabase {
+			answer.Outcome = statement.NoDatabase
+		}
+	case wire.Disposition_DISPOSITION_ROLLED_BACK:
+		answer.Outcome = statement.RolledBack
+	}
+	answer.Message = a.GetReason()
+	s.sessions.note(s, r, a)
+	return answer
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"slices"
+	"strconv"
 	"time"
 
 	"trefoilcourse/coord/settings"
@@ -17,7 +19,13 @@
 	Links         string   `json:"links"`
 	HTTP          string   `json:"http"`
 	Advertise     string   `json:"advertise,omitempty"`
-	Control       []string `json:"control"`
+	Control       []string `json:"control,omitempty"`
+	// Seeds are hosts or addresses of some control VMs, instead of Control; AgreementPort is the
+	// one on which control VMs listen for the system's processes.
+	Seeds         []string `json:"seeds,omitempty"`
+	AgreementPort int      `json:"agreement-port,omitempty"`
+	// GraceMilliseconds is how long a planned stop may take; 0 waits for what is under way.
+	GraceMilliseconds int `json:"grace-milliseconds,omitempty"`
 	// DrainMilliseconds is how long the health answer is bad before callers are sent away.
 	DrainMilliseconds int `json:"drain-milliseconds,omitempty"`
 	// TLS is used among the system's processes and for announcements; nil leaves them in plain
@@ -45,8 +53,10 @@
 		return fmt.Errorf("vm is empty; give this entry VM a name")
 	case s.FailureDomain == "":
 		return fmt.Errorf("failure-domain is empty; name the failure domain of this VM")
-	case len(s.Control) == 0:
-		return fmt.Errorf("control lists no address; list the control VMs")
+	case len(s.Control) == 0 && len(s.Seeds) == 0:
+		return fmt.Errorf("control lists no address; list the control VMs, or some as seeds")
+	case len(s.Seeds) > 0 && s.AgreementPort <= 0:
+		return fmt.Errorf("agreement-port is %d; give the port of the control VMs", s.AgreementPort)
 	case s.DrainMilliseconds < 0 || s.DrainMilliseconds > maxDrainMilliseconds:
 		return fmt.Errorf("drain-milliseconds is %d; use a number from 0 to %d", s.DrainMilliseconds, maxDrainMilliseconds)
 	}
@@ -72,3 +82,16 @@
 func (s Settings) drainDelay() time.Duration {
 	return time.Duration(s.DrainMilliseconds) * time.Millisecond
 }
+
+// control returns the addresses of the control VMs that the settings know.
+func (s Settings) control() []string {
+	addresses := slices.Clone(s.Control)
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			host = seed
+		}
+		addresses = append(addresses, net.JoinHostPort(host, strconv.Itoa(s.AgreementPort)))
+	}
+	return addresses
+}
--- /dev/null
+++ b/entry/statements.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"trefoilcourse/entry/control"
+	"trefoilcourse/entry/internal/metrics"
+	"trefoilcourse/entry/internal/view"
+	"trefoilcourse/entry/runner"
+	"trefoilcourse/entry/sessions"
+	"trefoilcourse/wire/protorpc"
+)
+
+const (
+	// rotationDelay is how long a balancer may go on sending callers after the health answer has
+	// turned bad: it asks each second and wants two bad answers.
+	rotationDelay = 2200 * time.Millisecond
+	// stopMargin is what is left of the grace when the daemon ends by itself.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Callers serves callers in a protocol of its own.
+type Callers interface {
+	// Run serves callers until ctx ends and every connection is closed.
+	Run(ctx context.Context, listener net.Listener, s *sessions.Sessions) error
+	// Drain closes each connection as soon as nothing is under way on it; transactions may go on
+	// until the deadline.
+	Drain(deadline time.Time)
+	// Open returns the number of connections.
+	Open() int
+}
+
+// StatementServer is an entry VM for announced groups, whose callers and servers speak a protocol
+// that is given to it; set the exported fields before Run.
+type StatementServer struct {
+	// Settings are the VM's own.
+	Settings Settings
+	// Callers and Servers speak the protocol.
+	Callers Callers
+	Servers runner.Servers
+	// Dialer opens connections to the system's other processes.
+	Dialer protorpc.Dialer
+	// Listen opens listeners; nil means plain TCP.
+	Listen func(address string) (net.Listener, error)
+	// Reload delivers changed settings.
+	Reload <-chan Settings
+	// Log receives decisions; nil means the standard logger.
+	Log logrus.FieldLogger
+
+	metrics  metrics.Metrics
+	view     *view.View
+	client   *control.Client
+	runner   *runner.Runner
+	sessions *sessions.Sessions
+	draining atomic.Bool
+	callers  net.Listener
+	links    net.Listener
+	http     net.Listener
+}
+
+// Run serves until ctx ends and what was under way has ended or the grace has, or until a
+// listener fails.
+func (s *StatementServer) Run(ctx context.Context) error {
+	if err := s.Settings.Check(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := s.listen(); err != nil {
+		return trace.Wrap(err)
+	}
+	s.build()
+	s.Log.WithFields(logrus.Fields{"failure-domain": s.Settings.FailureDomain, "seeds": s.Settings.Seeds}).Info("starts")
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: httpTimeout}
+	parts := []func() error{
+		func() error { return s.runner.Run(work) },
+		func() error { return s.client.Run(work) },
+		func() error { return sessions.Serve(work, s.links, s.runner) },
+		func() error { return s.Callers.Run(work, s.callers, s.sessions) },
+		func() error { return server.Serve(s.http) },
+	}
+	ended := make(chan error, len(parts))
+	for _, part := range parts {
+		go func() { ended <- part() }()
+	}
+	running := len(parts)
+	var err error
+	for stop := false; !stop; {
+		select {
+		case <-ctx.Done():
+			s.drain()
+			stop = true
+		case next := <-s.Reload:
+			s.reload(next)
+		case err = <-ended:
+			running--
+			stop = true
+		}
+	}
+	cancel()
+	s.closeAll(server)
+	for range running {
+		<-ended
+	}
+	s.Log.WithError(err).Info("stops")
+	return trace.Wrap(err)
+}
+
+func (s *StatementServer) listen() error {
+	open := s.Listen
+	if open == nil {
+		open = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&s.callers, s.Settings.Callers}, {&s.links, s.Settings.Links}, {&s.http, s.Settings.HTTP}} {
+		opened, err := open(l.address)
+		if err != nil {
+			return err
+		}
+		*l.listener = opened
+	}
+	return nil
+}
+
+func (s *StatementServer) build() {
+	if s.Log == nil {
+		s.Log = logrus.StandardLogger()
+	}
+	s.Log = s.Log.WithField("vm", s.Settings.VM)
+	life := newIncarnation()
+	s.metrics.Life.Set(life)
+	s.metrics.Publish("trefoil-entry-" + s.Settings.VM)
+	s.view = view.New()
+	dialer := orPlain(s.Dialer)
+	s.client = &control.Client{
+		VM: s.Settings.VM, Incarnation: life, FailureDomain: s.Settings.FailureDomain,
+		LinkAddress: s.Settings.Links, Addresses: s.Settings.control(), Dialer: dialer,
+		View: s.view, Traffic: &protorpc.Traffic{}, Drain: func() { s.draining.Store(true) },
+	}
+	s.client.Prepare()
+	s.runner = &runner.Runner{
+		VM: s.Settings.VM, FailureDomain: s.Settings.FailureDomain, View: s.view,
+		Servers: s.Servers, Poke: s.client.Poke, Metrics: &s.metrics, Log: s.Log,
+	}
+	s.client.Reporter = s.runner
+	s.sessions = &sessions.Sessions{
+		VM: s.Settings.VM, FailureDomain: s.Settings.FailureDomain, Life: life, View: s.view,
+		Local: s.runner, Dialer: dialer, Metrics: &s.metrics, Log: s.Log,
+	}
+}
+
+// reload takes over what may change while the daemon runs.
+func (s *StatementServer) reload(next Settings) {
+	s.client.SetAddresses(next.control())
+	s.Log.WithField("seeds", next.Seeds).Info("reloads its settings")
+}
+
+func (s *StatementServer) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(healthPath, s.health)
+	mux.Handle(variablesPath, expvar.Handler())
+	return mux
+}
+
+// health tells the balancer whether this VM takes callers.
+func (s *StatementServer) health(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case s.draining.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !s.view.Confirmed():
+		http.Error(w, "configuration unconfirmed", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ok\n"))
+	}
+}
+
+// drain lets what is under way end: the balancer is told first, and callers may come until it
+// has noticed; transactions have half of the grace.
+func (s *StatementServer) drain() {
+	began := time.Now()
+	grace := time.Duration(s.Settings.GraceMilliseconds) * time.Millisecond
+	if grace == 0 {
+		grace = time.Minute
+	}
+	end := began.Add(grace - stopMargin)
+	s.draining.Store(true)
+	s.Log.WithFields(logrus.Fields{"callers": s.Callers.Open(), "under-way": s.runner.Running()}).Info("drains")
+	s.client.SetDraining()
+	time.Sleep(min(rotationDelay, time.Until(end)))
+	_ = s.callers.Close()
+	s.Callers.Drain(began.Add(grace / 2))
+	for time.Now().Before(end) && (s.Callers.Open() > 0 || s.runner.Running() > 0) {
+		time.Sleep(drainPoll)
+	}
+	for deadline := time.Now().Add(handOverPause); time.Now().Before(deadline) && time.Now().Before(end) && len(s.view.Held()) > 0; {
+		time.Sleep(drainPoll)
+	}
+	s.Log.WithFields(logrus.Fields{
+		"callers": s.Callers.Open(), "under-way": s.runner.Running(), "took-ms": time.Since(began).Milliseconds(),
+	}).Info("has drained")
+}
+
+func (s *StatementServer) closeAll(server *http.Server) {
+	_ = s.callers.Close()
+	_ = s.links.Close()
+	s.sessions.Close()
+	if err := server.Close(); err != nil {
+		s.Log.WithError(err).Debug("closing the HTTP server")
+	}
+}
--- a/wire/protorpc/client.go
+++ b/wire/protorpc/client.go
@@ -11,6 +11,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// ErrNotConnected means that a call was not sent, since no connection could be opened.
+var ErrNotConnected = errors.New("no connection")
+
 // Dialer opens a connection; net.Dialer and tls.Dialer implement it.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
@@ -33,7 +36,7 @@
 func (c *Client) Call(ctx context.Context, method string, request, response proto.Message) error {
 	client, err := c.connect(ctx)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w to %s: %w", ErrNotConnected, c.Address, err)
 	}
 	call := client.Go(method, request, response, make(chan *rpc.Call, 1))
 	select {
