--- a/control/peers.go
+++ b/control/peers.go
@@ -30,6 +30,7 @@
 	if address == "" {
 		return
 	}
+	m.FromAddress = s.Settings.advertised()
 	if m.GetKind() == wire.AgreementKind_AGREEMENT_KIND_SNAPSHOT {
 		m.Snapshot = s.snapshot
 	}
@@ -76,6 +77,9 @@
 			return m.GetAddress()
 		}
 	}
+	if address := s.heardFrom[key]; address != "" {
+		return address
+	}
 	for vm, address := range s.Settings.Peers {
 		if len(key) > len(vm) && key[:len(vm)+1] == vm+"/" {
 			return address
--- a/control/server.go
+++ b/control/server.go
@@ -22,6 +22,9 @@
 
 const (
 	tickInterval = 20 * time.Millisecond
+	// electionTimeout is a part of the time that callers wait, and many round trips.
+	electionTimeout   = 400 * time.Millisecond
+	heartbeatInterval = 80 * time.Millisecond
 	// ConfirmWithin is how long an entry VM works by a configuration it last confirmed.
 	ConfirmWithin = 6 * time.Second
 	// compactAfter is the number of log entries after which a snapshot replaces them.
@@ -69,7 +72,9 @@
 	leadingTerm uint64
 	httpEnded   chan error
 	formed      bool
-	logBytes    int
+	// heardFrom are the addresses of control VMs that have sent a message, by member key.
+	heardFrom map[string]string
+	logBytes  int
 }
 
 func (s *Server) prepare() {
@@ -128,12 +133,15 @@
 	}
 	s.formed = !empty
 	s.machine = state.New()
-	s.leader = &leader.Leader{State: s.machine, Owners: s.Owners}
+	s.leader = &leader.Leader{
+		State: s.machine, Owners: s.Owners, Lease: time.Duration(s.Settings.LeaseMilliseconds) * time.Millisecond,
+	}
 	s.peers = map[string]*peer{}
+	s.heardFrom = map[string]string{}
 	s.waiting = map[string][]chan *wire.PublishResult{}
 	s.commanded = map[string]uint64{}
 	s.querying = map[string]bool{}
-	s.node = &raft.Node{Self: s.key(), Seed: uint64(now.UnixNano())}
+	s.node = &raft.Node{Self: s.key(), ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Seed: uint64(now.UnixNano())}
 	s.snapshot = stored.Snapshot
 	s.node.Restart(now, stored)
 	return nil
--- a/control/service.go
+++ b/control/service.go
@@ -49,12 +49,19 @@
 
 // Step hands a message of the agreement protocol to the node.
 func (a *agreementService) Step(m *wire.AgreementMessage, _ *wire.Empty) error {
-	if !a.s.do(context.Background(), func(now time.Time) { a.s.node.Step(now, m) }) {
+	if !a.s.do(context.Background(), func(now time.Time) { a.s.step(now, m) }) {
 		return errEnded
 	}
 	return nil
 }
 
+func (s *Server) step(now time.Time, m *wire.AgreementMessage) {
+	if m.GetFromAddress() != "" {
+		s.heardFrom[m.GetFrom()] = m.GetFromAddress()
+	}
+	s.node.Step(now, m)
+}
+
 // Join answers a control VM that is not a voting member.
 func (a *agreementService) Join(newcomer *wire.ControlMember, answer *wire.JoinResponse) error {
 	s := a.s
--- a/control/settings.go
+++ b/control/settings.go
@@ -23,10 +23,18 @@
 	Seeds []string `json:"seeds,omitempty"`
 	// Bootstrap says that the whole system starts for the first time: the seeds form it.
 	Bootstrap bool `json:"bootstrap,omitempty"`
+	// LeaseMilliseconds is how long entry VMs may act on what they were last told; 0 is 2 s.
+	LeaseMilliseconds int `json:"lease-milliseconds,omitempty"`
 	// TLS is used among the system's processes; nil leaves them in plain text.
 	TLS *identity.Files `json:"tls,omitempty"`
 }
 
+const (
+	// minLeaseMS lets a VM miss a renewal, maxLeaseMS is as long as anybody would wait.
+	minLeaseMS = 800
+	maxLeaseMS = 10_000
+)
+
 // LoadSettings reads and checks a settings file.
 func LoadSettings(path string) (Settings, error) {
 	var s Settings
@@ -41,6 +49,8 @@
 	switch {
 	case s.VM == "":
 		return fmt.Errorf("vm is empty; give this control VM a name")
+	case s.LeaseMilliseconds != 0 && (s.LeaseMilliseconds < minLeaseMS || s.LeaseMilliseconds > maxLeaseMS):
+		return fmt.Errorf("lease-milliseconds is %d; use a number from %d to %d", s.LeaseMilliseconds, minLeaseMS, maxLeaseMS)
 	case s.DataFolder == "":
 		return fmt.Errorf("data-folder is empty; name the folder that keeps the log")
 	case len(s.Seeds) > 0 && len(s.Peers) > 0:
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -129,6 +129,14 @@
 	return 0
 }
 
+// Service returns the mean time that a server takes for a statement.
+func (q *Queue) Service(slot string) time.Duration {
+	if s := q.servers[slot]; s != nil {
+		return s.service
+	}
+	return 0
+}
+
 // Submit takes a job, and starts it if a server is free.
 func (q *Queue) Submit(now time.Time, j Job) ([]Start, []Refusal) {
 	if !q.servable(now, j) {
--- a/coord/health/primary.go
+++ b/coord/health/primary.go
@@ -8,6 +8,8 @@
 	Silence = 900 * time.Millisecond
 	// Refusal is how long connections may be refused; a listening server never refuses.
 	Refusal = 300 * time.Millisecond
+	// doubt is a part of Silence: another owner may reach the primary.
+	doubt = 400 * time.Millisecond
 	// probeInterval is how long nothing is asked before the owner asks something itself.
 	probeInterval = 700 * time.Millisecond
 )
@@ -60,6 +62,13 @@
 	return !unusable, changed
 }
 
+// Doubtful reports whether a question has gone unanswered for longer than answers take, so that
+// work is better taken elsewhere; it is not reported.
+func (p *Primary) Doubtful(now time.Time) bool {
+	silent := !p.waiting.IsZero() && now.Sub(p.waiting) >= doubt && now.Sub(p.answered) >= doubt
+	return silent || !p.refused.IsZero() || p.unusable
+}
+
 // Unusable returns the last finding.
 func (p *Primary) Unusable() bool { return p.unusable }
 
--- a/coord/leader/groups.go
+++ b/coord/leader/groups.go
@@ -57,6 +57,7 @@
 		}
 		actions = append(actions, Action{Group: name, Action: a})
 	}
+	l.noteBlind(now, g)
 	l.publish(name, g)
 	g.dirty = g.machine.State() != promote.Steady || g.machine.Primary().Term == 0 || len(actions) > 0
 	g.due = now.Add(steadyInterval)
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -17,8 +17,11 @@
 const (
 	// DefaultOwners is the number of entry VMs that hold a group's connections.
 	DefaultOwners = 3
-	memberLife    = 2500 * time.Millisecond
-	serverLife    = 5 * time.Second
+	// memberGrace is how much longer than its leases a silent VM stays a member.
+	memberGrace = 500 * time.Millisecond
+	// blindLife is how long a VM is not given a group whose primary it could not reach.
+	blindLife  = 5 * time.Second
+	serverLife = 5 * time.Second
 	// controlConnections is how many connections to each server the control leader may open.
 	controlConnections = 1
 	// joinDelay keeps a VM that comes and goes from being given groups each time.
@@ -74,6 +77,8 @@
 	// due is when the group is looked at if nothing happens before; dirty is that something did.
 	due   time.Time
 	dirty bool
+	// blind are VMs that could not reach a primary that answers the control leader.
+	blind map[string]time.Time
 }
 
 type server struct {
@@ -86,6 +91,9 @@
 	if l.Owners == 0 {
 		l.Owners = DefaultOwners
 	}
+	if l.Lease == 0 {
+		l.Lease = lease.DefaultDuration
+	}
 	l.term = term
 	l.started = now
 	l.table = lease.Table{Duration: l.Lease}
@@ -235,6 +243,9 @@
 			health = promote.Stalled
 		}
 		g.dirty = g.dirty || health != promote.Good
+		if health == promote.Good {
+			delete(g.blind, r.GetVm())
+		}
 		g.machine.Observe(now, promote.Observation{
 			VM: r.GetVm(), FailureDomain: r.GetFailureDomain(), Term: o.GetTerm(), Health: health,
 		})
--- a/coord/leader/members.go
+++ b/coord/leader/members.go
@@ -42,7 +42,7 @@
 		return
 	}
 	for vm, m := range l.members {
-		if now.Sub(m.renewed) > memberLife {
+		if now.Sub(m.renewed) > l.Lease+memberGrace {
 			delete(l.members, vm)
 			l.departed[vm] = m
 			l.directory.dropMember(vm)
@@ -71,7 +71,7 @@
 	}
 	for _, name := range l.names {
 		g := l.groups[name]
-		g.owners = place.Owners(name, able, l.Owners)
+		g.owners = l.choose(now, name, g, able)
 		domains := map[string]string{}
 		for _, vm := range g.owners {
 			l.members[vm].owned = append(l.members[vm].owned, name)
@@ -82,6 +82,56 @@
 	}
 }
 
+// choose returns the owners of a group. Those of an announced group change only when they must:
+// under a new leader, the VMs that hold leases are the owners before.
+func (l *Leader) choose(now time.Time, name string, g *group, able []place.Member) []string {
+	if !g.machine.Announced {
+		return place.Owners(name, able, l.Owners)
+	}
+	before := g.owners
+	if before == nil {
+		before = l.table.Holders(now, name)
+	}
+	return place.Keep(name, g.sighted(now, able), before, l.Owners, func(vm string) int { return len(l.members[vm].owned) })
+}
+
+// sighted leaves out the VMs that cannot reach the group's primary, unless too few remain.
+func (g *group) sighted(now time.Time, able []place.Member) []place.Member {
+	var kept []place.Member
+	for _, m := range able {
+		if since, ok := g.blind[m.VM]; !ok || now.Sub(since) > blindLife {
+			kept = append(kept, m)
+		}
+	}
+	if len(kept) == 0 {
+		return able
+	}
+	return kept
+}
+
+// noteBlind moves a group away from owners that cannot reach a primary that answers others.
+func (l *Leader) noteBlind(now time.Time, g *group) {
+	for vm, since := range g.blind {
+		if now.Sub(since) > blindLife {
+			delete(g.blind, vm)
+			l.stale = true
+		}
+	}
+	if !g.machine.Announced {
+		return
+	}
+	for _, vm := range g.machine.Blind(now) {
+		if _, ok := g.blind[vm]; ok {
+			continue
+		}
+		if g.blind == nil {
+			g.blind = map[string]time.Time{}
+		}
+		g.blind[vm] = now
+		l.stale = true
+	}
+}
+
 // InForce reports whether every entry VM that may take work has confirmed a configuration
 // version; it is never true before an earlier leader's VMs are known or have stopped.
 func (l *Leader) InForce(now time.Time, version uint64, confirmWithin time.Duration) bool {
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -122,3 +122,36 @@
 		place.Owners("group-1", all, 3)
 	}
 }
+
+// TestKeepMovesNothingThatNeedNot has VMs come and go: owners that stay keep what they own, no
+// two owners share a failure domain while one is without, and work spreads over the VMs.
+func TestKeepMovesNothingThatNeedNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(rapid.IntRange(3, 20).Draw(t, "vms"), rapid.IntRange(1, 4).Draw(t, "domains"))
+		domains := map[string]string{}
+		for _, m := range all {
+			domains[m.VM] = m.FailureDomain
+		}
+		owned := map[string][]string{}
+		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+			up := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 1, len(all), func(m place.Member) string { return m.VM }).Draw(t, "up")
+			loads := map[string]int{}
+			for _, g := range []string{"a", "b", "c"} {
+				before := owned[g]
+				owned[g] = place.Keep(g, up, before, 3, func(vm string) int { return loads[vm] })
+				for _, vm := range owned[g] {
+					loads[vm]++
+				}
+				for _, vm := range before {
+					stays := slices.ContainsFunc(up, func(m place.Member) bool { return m.VM == vm })
+					if stays && !slices.Contains(owned[g], vm) {
+						t.Fatalf("%s lost %s, which is up", vm, g)
+					}
+				}
+				if len(owned[g]) != min(3, len(up)) {
+					t.Fatalf("%s has %d owners of %d VMs", g, len(owned[g]), len(up))
+				}
+			}
+		}
+	})
+}
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -36,6 +36,8 @@
 	// announcementLife is how old an announcement may be to count as a sign of life.
 	announcementLife = 3 * time.Second
 	orderTimeout     = 1500 * time.Millisecond
+	// orderInterval is how long a platform is given before it is told again.
+	orderInterval = 1500 * time.Millisecond
 	// announcedOrderTimeout lets a platform take its time: a second choice costs as much again.
 	announcedOrderTimeout = 4 * time.Second
 	vetoLife              = 2 * time.Second
@@ -123,6 +125,8 @@
 	statuses     map[string]Status
 	announced    map[string]Status
 	nextQuery    time.Time
+	nextOrder    time.Time
+	nextDoubt    time.Time
 	vetoUntil    time.Time
 	vetoes       int
 	note         string
@@ -281,6 +285,7 @@
 	if next != g.state {
 		g.since = now
 		g.nextQuery = time.Time{}
+		g.nextOrder = time.Time{}
 	}
 	g.state = next
 }
@@ -298,7 +303,23 @@
 		g.step(now, "leaving")
 		return nil
 	}
-	return g.repair(now)
+	actions := g.repair(now)
+	if g.Announced && g.doubted(now) && !now.Before(g.nextDoubt) {
+		g.nextDoubt = now.Add(queryInterval)
+		actions = append(actions, Action{Query: []string{g.primary.Slot}})
+	}
+	return actions
+}
+
+// doubted reports whether any owner lately found the primary unusable.
+func (g *Group) doubted(now time.Time) bool {
+	for vm := range g.owners {
+		o, ok := g.observations[vm]
+		if ok && now.Sub(o.at) <= observationLife && o.Health != Good {
+			return true
+		}
+	}
+	return false
 }
 
 // primaryLeaves reports whether the primary has announced that it leaves and a majority of the
@@ -351,6 +372,23 @@
 	return against > len(g.owners)/2 && len(domains) >= min(2, len(span))
 }
 
+// Blind returns the owners that lately found a primary unusable which has answered the control
+// leader as it should.
+func (g *Group) Blind(now time.Time) []string {
+	s, ok := g.statuses[g.primary.Slot]
+	if g.State() != Steady || !ok || now.Sub(s.Asked) > observationLife || !g.healthy(s) {
+		return nil
+	}
+	var blind []string
+	for vm, o := range g.observations {
+		if now.Sub(o.at) <= observationLife && o.Health != Good && !s.Asked.Before(o.at.Add(-observationLife)) {
+			blind = append(blind, vm)
+		}
+	}
+	slices.Sort(blind)
+	return blind
+}
+
 func (g *Group) tickChecking(now time.Time) []Action {
 	g.note = "owners cannot use the primary; asking it"
 	s, ok := g.statuses[g.primary.Slot]
@@ -402,8 +440,13 @@
 	if now.Before(g.nextQuery) {
 		return nil
 	}
-	p := g.primary
-	return append([]Action{{Promote: &p}}, g.query(now)...)
+	actions := g.query(now)
+	if !g.Announced || !now.Before(g.nextOrder) {
+		p := g.primary
+		g.nextOrder = now.Add(orderInterval)
+		actions = append([]Action{{Promote: &p}}, actions...)
+	}
+	return actions
 }
 
 // leads reports whether a server carries out the order to lead the recorded term.
@@ -419,7 +462,7 @@
 		s, ok := g.statuses[slot]
 		late := ok && !g.Announced && s.Term < g.primary.Term && now.Sub(s.Asked) < 2*repairInterval
 		switch {
-		case now.Before(g.nextQuery) || !ok || s.Incarnation == "":
+		case now.Before(g.nextQuery) || !ok || s.Incarnation == "" || g.Announced && now.Sub(s.Asked) > 2*repairInterval:
 		case slot == g.primary.Slot && (late || !s.Primary) && g.counts(s):
 			p := g.primary
 			actions = append(actions, Action{Promote: &p})
@@ -434,7 +477,7 @@
 		actions = append(actions, Action{Record: &p})
 	}
 	g.nextQuery = now.Add(repairInterval)
-	if g.needsRepair(now) {
+	if g.needsRepair(now) || g.Announced && len(actions) > 0 {
 		actions = append(actions, Action{Query: g.Slots})
 	}
 	return actions
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"trefoilcourse/coord/clock"
 	"trefoilcourse/entry/internal/view"
 	"trefoilcourse/wire"
@@ -17,8 +19,10 @@
 	// RenewInterval is the time between two renewals when nothing presses.
 	RenewInterval = 500 * time.Millisecond
 	// urgentInterval is the least time between two renewals.
-	urgentInterval   = 50 * time.Millisecond
-	renewTimeout     = 400 * time.Millisecond
+	urgentInterval = 50 * time.Millisecond
+	renewTimeout   = 400 * time.Millisecond
+	// renewalsPerLease lets two renewals fail before a lease ends.
+	renewalsPerLease = 4
 	maxAnnouncements = 4096
 )
 
@@ -46,6 +50,8 @@
 	Reporter Reporter
 	// Drain is called when the control leader asks this VM to drain; it must not block.
 	Drain func()
+	// Log receives losses of the control leader; nil means nobody.
+	Log logrus.FieldLogger
 	// Traffic counts the bytes.
 	Traffic *protorpc.Traffic
 
@@ -58,6 +64,9 @@
 	clients       map[string]*protorpc.Client
 	leader        string
 	failures      uint64
+	lost          bool
+	// interval is the time between two renewals, a part of the lease that was last granted.
+	interval time.Duration
 }
 
 // Prepare makes the client ready for Poke and Announce before Run.
@@ -119,7 +128,10 @@
 	defer c.close()
 	for {
 		urgent := c.renew(ctx)
-		wait := RenewInterval
+		wait := c.interval
+		if wait == 0 {
+			wait = RenewInterval
+		}
 		if urgent {
 			wait = 2 * urgentInterval
 		}
@@ -161,22 +173,42 @@
 	urgent := c.Reporter.Report(clock.Now(), request)
 	asked := clock.Now()
 	response, err := c.ask(ctx, request)
+	c.note(err, clock.Now().Sub(asked))
 	if err != nil {
-		c.mu.Lock()
-		c.failures++
-		c.mu.Unlock()
 		return true
 	}
 	if !c.View.Answered(asked, response) {
 		return true
 	}
 	c.forget(sent)
+	granted := time.Duration(response.GetLeaseMilliseconds()) * time.Millisecond
+	c.interval = min(RenewInterval, max(2*urgentInterval, granted/renewalsPerLease))
 	if response.GetDrain() {
 		c.Drain()
 	}
 	return urgent
 }
 
+// note counts a failed renewal, and logs when the control leader is lost or heard again.
+func (c *Client) note(err error, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lost := c.lost
+	c.lost = err != nil
+	if err != nil {
+		c.failures++
+	}
+	if c.Log == nil || lost == c.lost {
+		return
+	}
+	log := c.Log.WithFields(logrus.Fields{"took-ms": took.Milliseconds(), "leader": c.leader, "failures": c.failures})
+	if err != nil {
+		log.WithError(err).Warn("control leader is lost")
+	} else {
+		log.Info("control leader is heard again")
+	}
+}
+
 func (c *Client) request() (*wire.RenewRequest, map[string]*wire.Announcement) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -142,6 +142,13 @@
 	return v.version > 0 && v.epoch > 0 && v.now().Sub(v.holder.Confirmed()) < ConfirmWithin
 }
 
+// Age returns how long ago the question was asked whose answer was the last.
+func (v *View) Age() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.now().Sub(v.holder.Confirmed())
+}
+
 // Version returns the configuration version in force here.
 func (v *View) Version() uint64 {
 	v.mu.Lock()
--- a/entry/runner/execute.go
+++ b/entry/runner/execute.go
@@ -207,6 +207,9 @@
 	if job.Primary && !leads {
 		return nil, elsewhere("this entry VM has no lease on the primary")
 	}
+	if job.Primary && g.doubtful() {
+		return nil, elsewhere("the primary does not answer this entry VM")
+	}
 	t := g.turn(job)
 	if t.refused != nil {
 		return nil, refusal(t.refused)
@@ -258,7 +261,11 @@
 	if p.onPrimary {
 		p.group.noteAsked(p.asked)
 	}
-	reply, err := p.link.Run(w.left(), steps, Query{ID: q.GetId(), Text: q.GetText(), Definition: q.GetDefinition(), Floor: floor})
+	deadline := w.left()
+	if first := time.Now().Add(w.group.patience(p.slot)); w.repeatable() && first.Before(deadline) {
+		deadline = first
+	}
+	reply, err := p.link.Run(deadline, steps, Query{ID: q.GetId(), Text: q.GetText(), Definition: q.GetDefinition(), Floor: floor})
 	p.noteReply(reply, err)
 	if err != nil {
 		return reply, err
@@ -270,6 +277,12 @@
 	return reply, nil
 }
 
+// repeatable reports whether another server may be asked when one is late.
+func (w *work) repeatable() bool {
+	q := w.request
+	return q.GetKind() == wire.StatementKind_STATEMENT_KIND_READ && (q.GetUnit() == "" || q.GetBegins() && q.GetReadsOnly())
+}
+
 // noteReply takes note of whether the server answered; one that says that it does not lead is
 // no good as a primary.
 func (p *place) noteReply(reply Reply, err error) {
--- a/entry/runner/group.go
+++ b/entry/runner/group.go
@@ -27,14 +27,15 @@
 	nextID  uint64
 	primary string
 	term    uint64
-	// seen are the primary's positions since the term began.
+	// seen are the positions of the primaries by time.
 	seen   route.Sightings
-	latest session.Position
 	health health.Primary
 	// onPrimary counts statements and transactions on the primary.
 	onPrimary    int
 	closingSince time.Time
 	probing      bool
+	// active says that this VM has had the lease of the term: before, the primary may not lead yet.
+	active bool
 }
 
 // ticket tells a waiting statement which server runs it, or why none does.
@@ -57,6 +58,7 @@
 		return true
 	}
 	g.follow(g.runner.View.Group(g.name), allowed)
+	g.activate()
 	g.handOver()
 	g.judge()
 	g.probe()
@@ -73,8 +75,9 @@
 	defer g.mu.Unlock()
 	if state.GetTerm() != g.term || state.GetPrimarySlot() != g.primary {
 		g.term, g.primary = state.GetTerm(), state.GetPrimarySlot()
-		g.seen, g.latest = route.Sightings{}, session.Position{}
+		// What the earlier primary showed still bounds the age of what replicas hold.
 		g.health = health.Primary{}
+		g.active = false
 		g.closingSince = time.Time{}
 	}
 	if !state.GetClosing() {
@@ -110,6 +113,17 @@
 	g.health.Known = known[g.primary]
 }
 
+// activate begins to judge the primary with the first lease of its term.
+func (g *group) activate() {
+	leads := g.leadsNow()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if leads && !g.active {
+		g.active = true
+		g.health = health.Primary{Known: g.health.Known}
+	}
+}
+
 // handOver gives the term up once a leaving primary has nothing under way, or has had its time.
 func (g *group) handOver() {
 	g.mu.Lock()
@@ -146,9 +160,13 @@
 func (g *group) judge() {
 	g.mu.Lock()
 	term := g.term
+	if !g.active {
+		g.mu.Unlock()
+		return
+	}
 	usable, changed := g.health.Judge(clock.Now())
 	g.mu.Unlock()
-	if !changed || term == 0 {
+	if !changed {
 		return
 	}
 	if usable {
@@ -169,7 +187,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.term == 0 {
+	if !g.active {
 		return holding, nil
 	}
 	found := wire.PrimaryHealth_PRIMARY_HEALTH_GOOD
@@ -265,6 +283,11 @@
 	return at, at.term != 0 && g.runner.View.AckTerm(g.name) == at.term
 }
 
+func (g *group) leadsNow() bool {
+	_, ok := g.leads()
+	return ok
+}
+
 // stillLeads reports whether the lease that a statement began under still runs.
 func (g *group) stillLeads(at standing) bool {
 	now, ok := g.leads()
@@ -275,8 +298,7 @@
 func (g *group) learn(at standing, asked time.Time, p session.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.term == at.term && !p.Less(g.latest) {
-		g.latest = p
+	if g.term == at.term {
 		g.seen.Record(asked, p)
 	}
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -64,6 +64,10 @@
 			r.mu.Lock()
 			delete(r.groups, g.name)
 			r.mu.Unlock()
+			r.Log.WithFields(logrus.Fields{
+				"group": g.name, "leased": r.View.Leased(g.name), "connections": r.View.Connections(g.name),
+				"owners": r.View.Group(g.name).GetOwners(), "confirmed-ms-ago": r.View.Age().Milliseconds(),
+			}).Info("owns a group no more")
 		}
 	}
 	r.endIdle()
@@ -77,6 +81,7 @@
 	}
 	if r.groups[name] == nil {
 		r.groups[name] = newGroup(r, name)
+		r.Log.WithFields(logrus.Fields{"group": name, "connections": r.View.Connections(name)}).Info("owns a group")
 	}
 }
 
--- a/entry/runner/watch.go
+++ b/entry/runner/watch.go
@@ -11,6 +11,12 @@
 // answer that comes late still speaks for it.
 const probeTimeout = 1500 * time.Millisecond
 
+const (
+	// minPatience and patienceFactor are beyond what all but the longest reads take.
+	minPatience    = 300 * time.Millisecond
+	patienceFactor = 8
+)
+
 func (g *group) noteAsked(at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -23,6 +29,19 @@
 	g.health.Answered(clock.Now(), asked)
 }
 
+func (g *group) doubtful() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.health.Doubtful(clock.Now())
+}
+
+// patience returns how long a server may take for a read before another is asked.
+func (g *group) patience(slot string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(minPatience, patienceFactor*g.queue.Service(slot))
+}
+
 // enterPrimary counts a statement or transaction on the primary, if it may still begin there.
 func (g *group) enterPrimary(at standing) bool {
 	if !g.stillLeads(at) {
@@ -48,7 +67,7 @@
 	g.mu.Lock()
 	p := g.pools[g.primary]
 	at := standing{g.term, g.primary}
-	due := !g.probing && p != nil && g.term != 0 && g.health.Due(clock.Now())
+	due := !g.probing && p != nil && g.active && g.health.Due(clock.Now())
 	g.probing = g.probing || due
 	g.mu.Unlock()
 	if due {
--- a/entry/sessions/owners.go
+++ b/entry/sessions/owners.go
@@ -109,7 +109,8 @@
 	ctx, cancel := context.WithTimeout(ctx, left+linkMargin)
 	defer cancel()
 	a := &wire.StatementAnswer{}
-	err := s.link(m.GetLinkAddress()).Call(ctx, "Statements.Run", r, a)
+	hasty := r.GetKind() == wire.StatementKind_STATEMENT_KIND_READ && (r.GetUnit() == "" || r.GetBegins())
+	err := s.link(m.GetLinkAddress()).run(ctx, r, a, hasty)
 	if errors.Is(err, protorpc.ErrNotConnected) {
 		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_ELSEWHERE, Reason: err.Error()}
 	}
--- a/entry/sessions/service.go
+++ b/entry/sessions/service.go
@@ -43,10 +43,7 @@
 
 // Run runs one statement.
 func (s *service) Run(r *wire.StatementRequest, a *wire.StatementAnswer) error {
-	got := s.executor.Execute(s.ctx, r)
-	a.Disposition, a.Rows, a.Signature = got.GetDisposition(), got.GetRows(), got.GetSignature()
-	a.Code, a.Message, a.State = got.GetCode(), got.GetMessage(), got.GetState()
-	a.Position, a.RetryMilliseconds, a.Reason = got.GetPosition(), got.GetRetryMilliseconds(), got.GetReason()
+	take(a, s.executor.Execute(s.ctx, r))
 	return nil
 }
 
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -39,7 +39,7 @@
 
 	next  atomic.Uint64
 	mu    sync.Mutex
-	links map[string]*protorpc.Client
+	links map[string]*link
 }
 
 // Open begins a session with a database, and reports false if no database has the name.
@@ -74,6 +74,8 @@
 	case vm == s.VM:
 		return 0
 	case m == nil:
+		return 2*far + 1
+	case s.link(m.GetLinkAddress()).isDown():
 		return 2 * far
 	case m.GetFailureDomain() == s.FailureDomain:
 		return 1
@@ -83,15 +85,15 @@
 	return 2 + int(sum.Sum32()%far)
 }
 
-// link returns the client to another entry VM.
-func (s *Sessions) link(address string) *protorpc.Client {
+// link returns the way to another entry VM.
+func (s *Sessions) link(address string) *link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.links == nil {
-		s.links = map[string]*protorpc.Client{}
+		s.links = map[string]*link{}
 	}
 	if s.links[address] == nil {
-		s.links[address] = &protorpc.Client{Address: address, Dialer: s.Dialer}
+		s.links[address] = &link{client: protorpc.Client{Address: address, Dialer: s.Dialer, Shared: true}}
 	}
 	return s.links[address]
 }
@@ -110,7 +112,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 		defer cancel()
 		// An owner that is not reached ends the transaction when it has been idle for long.
-		_ = s.link(m.GetLinkAddress()).Call(ctx, "Statements.End", &wire.UnitRequest{Unit: unit}, &wire.Empty{})
+		_ = s.link(m.GetLinkAddress()).client.Call(ctx, "Statements.End", &wire.UnitRequest{Unit: unit}, &wire.Empty{})
 	}()
 }
 
@@ -118,8 +120,8 @@
 func (s *Sessions) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.links {
-		c.Close()
+	for _, l := range s.links {
+		l.client.Close()
 	}
 }
 
--- a/entry/statements.go
+++ b/entry/statements.go
@@ -25,6 +25,11 @@
 	rotationDelay = 2200 * time.Millisecond
 	// stopMargin is what is left of the grace when the daemon ends by itself.
 	stopMargin = 500 * time.Millisecond
+	// outOfTouch is how long a VM that hears no control leader takes callers: longer than a new
+	// leader needs, and short for callers whom another VM could serve.
+	outOfTouch = 2500 * time.Millisecond
+	// touchInterval is how often that is looked at.
+	touchInterval = 250 * time.Millisecond
 )
 
 // Callers serves callers in a protocol of its own.
@@ -34,6 +39,8 @@
 	// Drain closes each connection as soon as nothing is under way on it; transactions may go on
 	// until the deadline.
 	Drain(deadline time.Time)
+	// SendAway says whether connections on which nothing is under way are closed.
+	SendAway(away bool)
 	// Open returns the number of connections.
 	Open() int
 }
@@ -61,6 +68,7 @@
 	runner   *runner.Runner
 	sessions *sessions.Sessions
 	draining atomic.Bool
+	away     bool
 	callers  net.Listener
 	links    net.Listener
 	http     net.Listener
@@ -92,6 +100,8 @@
 		go func() { ended <- part() }()
 	}
 	running := len(parts)
+	touch := time.NewTicker(touchInterval)
+	defer touch.Stop()
 	var err error
 	for stop := false; !stop; {
 		select {
@@ -100,6 +110,8 @@
 			stop = true
 		case next := <-s.Reload:
 			s.reload(next)
+		case <-touch.C:
+			s.sendAway()
 		case err = <-ended:
 			running--
 			stop = true
@@ -145,7 +157,7 @@
 	s.client = &control.Client{
 		VM: s.Settings.VM, Incarnation: life, FailureDomain: s.Settings.FailureDomain,
 		LinkAddress: s.Settings.Links, Addresses: s.Settings.control(), Dialer: dialer,
-		View: s.view, Traffic: &protorpc.Traffic{}, Drain: func() { s.draining.Store(true) },
+		View: s.view, Traffic: &protorpc.Traffic{}, Log: s.Log, Drain: func() { s.draining.Store(true) },
 	}
 	s.client.Prepare()
 	s.runner = &runner.Runner{
@@ -165,6 +177,20 @@
 	s.Log.WithField("seeds", next.Seeds).Info("reloads its settings")
 }
 
+// sendAway closes the sessions on which nothing is under way once this VM is out of touch, so
+// that callers come back to another one.
+func (s *StatementServer) sendAway() {
+	away := s.view.Version() > 0 && s.view.Age() > outOfTouch
+	if away == s.away {
+		return
+	}
+	s.away = away
+	s.Log.WithFields(logrus.Fields{
+		"away": away, "confirmed-ms-ago": s.view.Age().Milliseconds(), "callers": s.Callers.Open(),
+	}).Info("whether callers are sent away changes")
+	s.Callers.SendAway(away)
+}
+
 func (s *StatementServer) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(healthPath, s.health)
@@ -177,8 +203,8 @@
 	switch {
 	case s.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case !s.view.Confirmed():
-		http.Error(w, "configuration unconfirmed", http.StatusServiceUnavailable)
+	case !s.view.Confirmed() || s.view.Age() > outOfTouch:
+		http.Error(w, "the control leader is not heard", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
 	}
--- a/wire/protorpc/client.go
+++ b/wire/protorpc/client.go
@@ -27,6 +27,8 @@
 	Dialer Dialer
 	// Traffic counts bytes; nil counts nothing.
 	Traffic *Traffic
+	// Shared leaves the connection open for other calls when one is given up.
+	Shared bool
 
 	mu     sync.Mutex
 	client *rpc.Client
@@ -46,7 +48,9 @@
 		}
 		return call.Error
 	case <-ctx.Done():
-		c.drop(client)
+		if !c.Shared {
+			c.drop(client)
+		}
 		return fmt.Errorf("call %s at %s: %w", method, c.Address, ctx.Err())
 	}
 }
