--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -59,33 +59,48 @@
 	return next, Change{raft.MemberKey(joined), "joined"}
 }
 
-// Next returns the membership that the leader should propose, or nil.
+// Next returns the membership that the leader should propose, or nil. The number of voters is
+// kept odd, so that one half of a system that is cut in two has a majority; a learner that could
+// make it even waits to take the place of a silent voter.
 func Next(current *wire.Membership, standing func(key string) Standing) (*wire.Membership, Change) {
+	voters, silentVoter, silentLearner := 0, -1, -1
+	var ready []int
 	for i, m := range current.GetMembers() {
 		s := standing(raft.MemberKey(m))
-		if !m.GetVoter() && s.Started && s.Lag <= maxLag && s.Silence < silenceLimit {
-			next := proto.CloneOf(current)
-			next.Members[i].Voter = true
-			return next, Change{raft.MemberKey(m), "votes"}
-		}
-	}
-	voters := 0
-	for _, m := range current.GetMembers() {
-		if m.GetVoter() {
+		silent := s.Silence >= silenceLimit
+		switch {
+		case m.GetVoter():
 			voters++
+			if silent {
+				silentVoter = i
+			}
+		case silent:
+			silentLearner = i
+		case s.Started && s.Lag <= maxLag:
+			ready = append(ready, i)
 		}
 	}
-	for i, m := range current.GetMembers() {
-		silent := standing(raft.MemberKey(m)).Silence >= silenceLimit
-		if silent && (!m.GetVoter() || voters > minVoters) {
-			next := proto.CloneOf(current)
-			next.Members = slices.Delete(next.Members, i, i+1)
-			return next, Change{raft.MemberKey(m), "left"}
-		}
+	even := voters%2 == 0
+	switch {
+	case silentVoter >= 0 && voters > minVoters:
+		return without(current, silentVoter)
+	case silentLearner >= 0:
+		return without(current, silentLearner)
+	case len(ready) > 0 && (even || voters < minVoters || silentVoter >= 0 || len(ready) > 1):
+		next := proto.CloneOf(current)
+		next.Members[ready[0]].Voter = true
+		return next, Change{raft.MemberKey(next.Members[ready[0]]), "votes"}
 	}
 	return nil, Change{}
 }
 
+func without(current *wire.Membership, i int) (*wire.Membership, Change) {
+	next := proto.CloneOf(current)
+	left := raft.MemberKey(next.Members[i])
+	next.Members = slices.Delete(next.Members, i, i+1)
+	return next, Change{left, "left"}
+}
+
 // First returns the membership of control VMs that start for the first time, in which all vote.
 func First(members []*wire.ControlMember) *wire.Membership {
 	m := &wire.Membership{}
--- a/entry/runner/group.go
+++ b/entry/runner/group.go
@@ -81,6 +81,10 @@
 		g.closingSince = time.Time{}
 	}
 	if !state.GetClosing() {
+		if !g.closingSince.IsZero() {
+			// The primary may stay after all; then the term is granted anew.
+			g.runner.View.Restore(g.name)
+		}
 		g.closingSince = time.Time{}
 	} else if g.closingSince.IsZero() {
 		g.closingSince = clock.Now()
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -81,6 +81,8 @@
 	}
 	if r.groups[name] == nil {
 		r.groups[name] = newGroup(r, name)
+		// What was given up in an earlier ownership is granted anew, or not at all.
+		r.View.Restore(name)
 		r.Log.WithFields(logrus.Fields{"group": name, "connections": r.View.Connections(name)}).Info("owns a group")
 	}
 }
