--- a/control/internal/disk/store.go
+++ b/control/internal/disk/store.go
@@ -104,8 +104,8 @@
 	return []byte(hex.EncodeToString(id))
 }
 
-// Load reads back everything that was saved; empty is true for a folder without a membership.
-func (s *Store) Load() (stored raft.Stored, empty bool, err error) {
+// Load reads back everything that was saved.
+func (s *Store) Load() (stored raft.Stored, err error) {
 	err = s.db.View(func(tx *bolt.Tx) error {
 		state := tx.Bucket(bucketState)
 		hard := &wire.HardState{}
@@ -124,7 +124,7 @@
 		stored.Entries, err = loadEntries(tx.Bucket(bucketLog), snapshot.GetIndex())
 		return err
 	})
-	return stored, stored.Snapshot == nil, err
+	return stored, err
 }
 
 func loadEntries(log *bolt.Bucket, after uint64) ([]*wire.LogEntry, error) {
--- a/control/internal/disk/store_test.go
+++ b/control/internal/disk/store_test.go
@@ -40,14 +40,14 @@
 	s, err := disk.Open(folder)
 	is.NoErr(err)
 	defer func() { _ = s.Close() }()
-	stored, empty, err := s.Load()
+	stored, err := s.Load()
 	is.NoErr(err)
-	is.True(!empty)
+	is.True(stored.Snapshot != nil)
 	is.Equal(stored.Hard.GetVote(), "c1/x")
 	is.Equal(len(stored.Entries), 16)
 	is.Equal(stored.Entries[15].GetTerm(), uint64(3))
 	is.NoErr(s.Save(&raft.Effects{Snapshot: &wire.LogSnapshot{Index: 16, Term: 3, State: []byte("state")}, Entries: entries(17, 18, 3)}))
-	stored, _, err = s.Load()
+	stored, err = s.Load()
 	is.NoErr(err)
 	is.Equal(stored.Snapshot.GetIndex(), uint64(16))
 	is.Equal(len(stored.Entries), 2)
@@ -76,9 +76,9 @@
 	is.NoErr(err)
 	defer func() { _ = s.Close() }()
 	is.True(s.Incarnation() != first)
-	_, empty, err := s.Load()
+	stored, err := s.Load()
 	is.NoErr(err)
-	is.True(empty)
+	is.True(stored.Snapshot == nil)
 }
 
 // TestDamageIsFound: a byte that changed on the disk is never taken for what was written.
@@ -95,6 +95,6 @@
 	s, err := disk.Open(folder)
 	is.NoErr(err)
 	defer func() { _ = s.Close() }()
-	_, _, err = s.Load()
+	_, err = s.Load()
 	is.True(errors.Is(err, disk.ErrChecksum))
 }
--- a/control/membership.go
+++ b/control/membership.go
@@ -48,6 +48,7 @@
 		return
 	}
 	if _, err := s.node.ProposeMembership(next); err != nil {
+		s.Log.WithError(err).WithFields(map[string]any{"member": change.Member, "outcome": change.Outcome}).Warn("membership is not changed yet")
 		return
 	}
 	s.Log.WithFields(map[string]any{
--- a/control/server.go
+++ b/control/server.go
@@ -14,6 +14,7 @@
 	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/leader"
 	"trefoilcourse/coord/raft"
+	"trefoilcourse/coord/roster"
 	"trefoilcourse/coord/state"
 	"trefoilcourse/wire"
 	"trefoilcourse/wire/identity"
@@ -123,15 +124,21 @@
 	if err := s.restart(clock.Now()); err != nil {
 		return trace.Wrap(err)
 	}
-	return s.serve(ctx)
+	s.Log.WithFields(logrus.Fields{
+		"formed": s.formed, "life": store.Incarnation(), "term": s.node.Term(), "bootstrap": s.Settings.Bootstrap,
+		"seeds": s.Settings.Seeds, "members": len(s.node.Membership().GetMembers()),
+	}).Info("starts")
+	err = s.serve(ctx)
+	s.Log.WithError(err).Info("stops")
+	return err
 }
 
 func (s *Server) restart(now time.Time) error {
-	stored, empty, err := s.store.Load()
+	stored, err := s.store.Load()
 	if err != nil {
 		return err
 	}
-	s.formed = !empty
+	s.formed = roster.Formed(stored)
 	s.machine = state.New()
 	s.leader = &leader.Leader{
 		State: s.machine, Owners: s.Owners, Lease: time.Duration(s.Settings.LeaseMilliseconds) * time.Millisecond,
@@ -273,8 +280,8 @@
 		s.node.Synced(&effects)
 		if effects.Snapshot != nil {
 			s.snapshot = effects.Snapshot
-			s.formed = true
 		}
+		s.formed = s.formed || roster.Formed(raft.Stored{Snapshot: effects.Snapshot, Entries: effects.Entries})
 		for _, m := range effects.Messages {
 			s.send(ctx, m)
 		}
--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -6,11 +6,18 @@
 	"trefoilcourse/wire"
 )
 
+// preVoteDivisor is the part of an election timeout after which a pre-vote is repeated.
+const preVoteDivisor = 4
+
 func (n *Node) campaign(now time.Time, role Role) {
 	n.role = role
 	n.leader = ""
 	n.votes = map[string]bool{n.Self: true}
 	n.resetDeadline(now)
+	if role == PreCandidate {
+		// Others may have heard the lost leader a moment later; asking again disturbs nobody.
+		n.deadline = now.Add(n.ElectionTimeout/preVoteDivisor + time.Duration(n.random.Int64N(int64(n.ElectionTimeout/preVoteDivisor))))
+	}
 	term := n.term + 1
 	kind := wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE
 	if role == Candidate {
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -39,6 +39,12 @@
 	Outcome string
 }
 
+// Formed reports whether a data folder belongs to a system: one that joined may hold the log
+// alone, without a snapshot, and what it holds must never be replaced by a first membership.
+func Formed(stored raft.Stored) bool {
+	return stored.Snapshot != nil || len(stored.Entries) > 0
+}
+
 // Join returns the membership with a VM that asks to join as a learner, or nil if it belongs to
 // it already. A VM whose data folder is new takes the place of its predecessor, which forgot
 // what it promised.
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -93,3 +93,12 @@
 	m, _ = roster.Join(m, member("c", "1", true))
 	is.Equal(keys(m), []string{"a/1+", "b/1+", "c/1", "d/1+"}) // back as a learner
 }
+
+// TestLogAloneIsASystem: a control VM that joined and was restarted before its first snapshot
+// once took itself for empty, and replaced its log by a first membership.
+func TestLogAloneIsASystem(t *testing.T) {
+	is := is.New(t)
+	is.True(!roster.Formed(raft.Stored{Hard: &wire.HardState{Term: 3}}))
+	is.True(roster.Formed(raft.Stored{Entries: []*wire.LogEntry{{Index: 1}}}))
+	is.True(roster.Formed(raft.Stored{Snapshot: &wire.LogSnapshot{}}))
+}
