entry/runner: reads wait for a slow server, and pass by replicas that are behind

Change: a read is given up only when its server answers nobody for 400 ms; replicas whose log is not expected to have the floor are passed by; a quiet link is asked for a sign of life first.

--- a/entry/runner/execute.go
+++ b/entry/runner/execute.go
@@ -146,7 +146,9 @@
 	job.Primary = !ok
 	if job.Primary {
 		job.Avoid = nil
+		return job, floor
 	}
+	job.Avoid = append(w.group.behind(floor), avoid...)
 	return job, floor
 }
 
@@ -261,11 +263,11 @@
 	if p.onPrimary {
 		p.group.noteAsked(p.asked)
 	}
-	deadline := w.left()
-	if first := time.Now().Add(w.group.patience(p.slot)); w.repeatable() && first.Before(deadline) {
-		deadline = first
+	if w.repeatable() {
+		p.group.watch(p)
+		defer p.group.unwatch(p)
 	}
-	reply, err := p.link.Run(deadline, steps, Query{ID: q.GetId(), Text: q.GetText(), Definition: q.GetDefinition(), Floor: floor})
+	reply, err := p.link.Run(w.left(), steps, Query{ID: q.GetId(), Text: q.GetText(), Definition: q.GetDefinition(), Floor: floor})
 	p.noteReply(reply, err)
 	if err != nil {
 		return reply, err
@@ -287,9 +289,13 @@
 // no good as a primary.
 func (p *place) noteReply(reply Reply, err error) {
 	p.answered = err == nil
-	if err == nil && p.onPrimary && reply.Verdict != ReadOnly {
+	if err != nil {
+		return
+	}
+	if p.onPrimary && reply.Verdict != ReadOnly {
 		p.group.noteAnswered(p.asked)
 	}
+	p.group.noteReply(p.slot, p.asked, reply, p.onPrimary)
 }
 
 // deposed takes note that the recorded primary says that it does not lead.
--- a/entry/runner/group.go
+++ b/entry/runner/group.go
@@ -34,6 +34,9 @@
 	onPrimary    int
 	closingSince time.Time
 	probing      bool
+	replicas     map[string]*replica
+	// watched are reads that are tried elsewhere if their server falls silent.
+	watched map[*place]bool
 	// active says that this VM has had the lease of the term: before, the primary may not lead yet.
 	active bool
 }
@@ -45,7 +48,10 @@
 }
 
 func newGroup(r *Runner, name string) *group {
-	g := &group{runner: r, name: name, pools: map[string]*pool{}, starts: map[uint64]chan ticket{}}
+	g := &group{
+		runner: r, name: name, pools: map[string]*pool{}, starts: map[uint64]chan ticket{},
+		replicas: map[string]*replica{}, watched: map[*place]bool{},
+	}
 	g.queue.FailureDomain = r.FailureDomain
 	return g
 }
@@ -62,6 +68,7 @@
 	g.handOver()
 	g.judge()
 	g.probe()
+	g.interruptSilent()
 	g.mu.Lock()
 	started, refused := g.queue.Tick(clock.Now())
 	g.deliver(started, refused)
@@ -111,6 +118,7 @@
 		if !known[slot] {
 			go p.close()
 			delete(g.pools, slot)
+			delete(g.replicas, slot)
 		}
 	}
 	g.queue.SetServers(servers)
--- /dev/null
+++ b/entry/runner/replicas.go
@@ -0,0 +1,89 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"trefoilcourse/coord/clock"
+	"trefoilcourse/coord/route"
+	"trefoilcourse/coord/session"
+)
+
+const (
+	// silenceLimit is how long a server may answer nothing to anybody before reads on it are
+	// tried elsewhere; a slow server that answers others is waited for, since what it was asked
+	// goes on occupying it.
+	silenceLimit = 400 * time.Millisecond
+	// reportLife is how long a replica's position is believed; then one read finds it out anew.
+	reportLife = 250 * time.Millisecond
+)
+
+// replica is what is known of a server's log and answers.
+type replica struct {
+	route.Server
+	answered time.Time
+}
+
+// noteReply takes note of what a server showed of its log in an answer.
+func (g *group) noteReply(slot string, asked time.Time, reply Reply, onPrimary bool) {
+	now := clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.replicas[slot]
+	if r == nil {
+		r = &replica{Server: route.Server{Slot: slot}}
+		g.replicas[slot] = r
+	}
+	r.answered = now
+	if onPrimary {
+		return
+	}
+	r.Replayed, r.Reported = reply.Position, now
+	if age, ok := g.seen.Age(asked, reply.Position); ok {
+		r.Lag = max(0, age)
+	}
+}
+
+// behind returns the replicas that are not expected to have a position by now.
+func (g *group) behind(floor session.Position) []string {
+	now := clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var slots []string
+	for slot, r := range g.replicas {
+		fresh := slot != g.primary && now.Sub(r.Reported) <= reportLife
+		if fresh && route.Predict(now, &g.seen, r.Server, floor) > 0 {
+			slots = append(slots, slot)
+		}
+	}
+	slices.Sort(slots)
+	return slots
+}
+
+// watch has a read interrupted when its server falls silent.
+func (g *group) watch(p *place) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watched[p] = true
+}
+
+func (g *group) unwatch(p *place) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.watched, p)
+}
+
+// interruptSilent ends the reads on servers that have answered nobody for long.
+func (g *group) interruptSilent() {
+	now := clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for p := range g.watched {
+		r := g.replicas[p.slot]
+		quiet := r == nil || now.Sub(r.answered) >= silenceLimit
+		if quiet && now.Sub(p.asked) >= silenceLimit {
+			p.link.Interrupt()
+			delete(g.watched, p)
+		}
+	}
+}
--- a/entry/runner/server.go
+++ b/entry/runner/server.go
@@ -59,6 +59,8 @@
 	Rollback(deadline time.Time) error
 	// Ping asks the server for its position.
 	Ping(deadline time.Time) (Reply, error)
+	// Interrupt ends the request under way with an error; any goroutine may call it.
+	Interrupt()
 	// Alive reports whether the server has not ended the idle connection, as far as is known.
 	Alive() bool
 	Close()
--- a/entry/runner/watch.go
+++ b/entry/runner/watch.go
@@ -11,12 +11,6 @@
 // answer that comes late still speaks for it.
 const probeTimeout = 1500 * time.Millisecond
 
-const (
-	// minPatience and patienceFactor are beyond what all but the longest reads take.
-	minPatience    = 300 * time.Millisecond
-	patienceFactor = 8
-)
-
 func (g *group) noteAsked(at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -35,13 +29,6 @@
 	return g.health.Doubtful(clock.Now())
 }
 
-// patience returns how long a server may take for a read before another is asked.
-func (g *group) patience(slot string) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return max(minPatience, patienceFactor*g.queue.Service(slot))
-}
-
 // enterPrimary counts a statement or transaction on the primary, if it may still begin there.
 func (g *group) enterPrimary(at standing) bool {
 	if !g.stillLeads(at) {
--- a/entry/sessions/link.go
+++ b/entry/sessions/link.go
@@ -23,9 +23,10 @@
 type link struct {
 	client protorpc.Client
 
-	mu    sync.Mutex
-	heard time.Time
-	down  time.Time
+	mu      sync.Mutex
+	heard   time.Time
+	down    time.Time
+	pinging bool
 }
 
 var errQuiet = errors.New("the link has gone quiet")
@@ -39,7 +40,7 @@
 	answer := &wire.StatementAnswer{}
 	go func() { done <- l.client.Call(ctx, "Statements.Run", r, answer) }()
 	for {
-		wait := time.NewTimer(quietLimit)
+		wait := time.NewTimer(quietLimit / 2)
 		select {
 		case err := <-done:
 			wait.Stop()
@@ -52,10 +53,30 @@
 			if hasty && l.quietSince(asked) {
 				return errQuiet
 			}
+			l.ping()
 		}
 	}
 }
 
+// ping asks the other VM for a sign of life, since its statements may all take long.
+func (l *link) ping() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pinging || clock.Now().Sub(l.heard) < quietLimit/2 {
+		return
+	}
+	l.pinging = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), quietLimit)
+		defer cancel()
+		err := l.client.Call(ctx, "Statements.Ping", &wire.Empty{}, &wire.Empty{})
+		l.note(err)
+		l.mu.Lock()
+		l.pinging = false
+		l.mu.Unlock()
+	}()
+}
+
 func (l *link) note(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/sessions/service.go
+++ b/entry/sessions/service.go
@@ -52,3 +52,6 @@
 	s.executor.End(r.GetUnit())
 	return nil
 }
+
+// Ping shows that this VM answers.
+func (s *service) Ping(_, _ *wire.Empty) error { return nil }
