coord/leader: a new leader knows owners and servers from the log, and adopts only what it must

Change: owners, those that may still hold a lease, and servers are commands in the log; a group is adopted until its recorded VMs have reported. Sessions that begin wait up to 1 s for a VM that has just started. The primary that a statement waited for must be the one that it runs on.

--- a/control/orders.go
+++ b/control/orders.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"trefoilcourse/control/internal/backend"
@@ -77,6 +78,13 @@
 // act carries out one decision of the leader.
 func (s *Server) act(ctx context.Context, a leader.Action) {
 	switch {
+	case a.Owners != nil:
+		s.command("owners/"+a.Group, &wire.Command{Owners: a.Owners}, logrus.Fields{"group": a.Group, "owners": a.Owners.GetVms(), "former": a.Owners.GetFormer()})
+	case a.Server != nil:
+		s.command("server/"+a.Group+"/"+a.Server.GetSlot(), &wire.Command{Server: a.Server}, logrus.Fields{
+			"group": a.Group, "slot": a.Server.GetSlot(), "address": a.Server.GetAddress(), "born": a.Server.GetBorn(),
+			"sequence": a.Server.GetSequence(), "leaving": a.Server.GetLeaving(), "gone": a.Server.GetGone(),
+		})
 	case a.Record != nil:
 		s.record(a.Group, a.Record)
 	case a.Query != nil:
@@ -88,18 +96,23 @@
 	}
 }
 
-// record proposes a primary once; the machine repeats the action until it is recorded.
+// record proposes a primary.
 func (s *Server) record(group string, p *promote.Primary) {
-	data, err := proto.Marshal(leader.Record(group, p))
-	if err != nil {
-		s.Log.WithError(err).Error("primary does not encode")
+	s.command(group, leader.Record(group, p), logrus.Fields{"group": group, "slot": p.Slot, "primary-term": p.Term})
+}
+
+// command proposes a change of state once; the machine repeats the action until it is recorded.
+func (s *Server) command(key string, c *wire.Command, fields logrus.Fields) {
+	if s.commanded[key] > s.node.Commit() {
 		return
 	}
-	if s.commanded[group] > s.node.Commit() {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		s.Log.WithError(err).WithFields(fields).Error("command does not encode")
 		return
 	}
-	s.commanded[group] = s.node.Propose(data)
-	s.Log.WithFields(map[string]any{"group": group, "slot": p.Slot, "term": p.Term}).Info("records primary")
+	s.commanded[key] = s.node.Propose(data)
+	s.Log.WithFields(fields).WithFields(logrus.Fields{"term": s.node.Term(), "index": s.commanded[key]}).Info("records")
 }
 
 // query asks slots for their status, one question to a slot at a time.
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -137,6 +137,25 @@
 	return 0
 }
 
+// Load is what one server works on, for logs.
+type Load struct {
+	Slot    string
+	Running int
+	Limit   int
+	Service time.Duration
+	Primary bool
+}
+
+// Loads returns the load of each server, by slot.
+func (q *Queue) Loads() []Load {
+	var loads []Load
+	for slot, s := range q.servers {
+		loads = append(loads, Load{slot, s.running, s.limit(), s.service, s.Primary})
+	}
+	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Slot, b.Slot) })
+	return loads
+}
+
 // Submit takes a job, and starts it if a server is free.
 func (q *Queue) Submit(now time.Time, j Job) ([]Start, []Refusal) {
 	if !q.servable(now, j) {
--- a/coord/leader/groups.go
+++ b/coord/leader/groups.go
@@ -57,6 +57,9 @@
 		}
 		actions = append(actions, Action{Group: name, Action: a})
 	}
+	if g.machine.Announced {
+		actions = append(actions, l.unrecorded(now, name, g)...)
+	}
 	l.noteBlind(now, g)
 	l.publish(name, g)
 	g.dirty = g.machine.State() != promote.Steady || g.machine.Primary().Term == 0 || len(actions) > 0
@@ -72,9 +75,9 @@
 		limit = l.set.Groups[name].Connections - controlConnections
 	}
 	l.table.Set(name, lease.Group{
-		Term: g.machine.AckTerm(), Closing: g.machine.Closing(), Limit: limit, Owners: g.owners,
+		Term: g.machine.AckTerm(), Closing: g.machine.Closing(), Limit: limit, Owners: l.ownersOf(name, g),
 	})
-	entry := &wire.GroupState{Group: name, Term: primary.Term, PrimarySlot: primary.Slot, Owners: g.owners, Closing: g.machine.Closing()}
+	entry := &wire.GroupState{Group: name, Term: primary.Term, PrimarySlot: primary.Slot, Owners: l.ownersOf(name, g), Closing: g.machine.Closing()}
 	for _, slot := range g.machine.Slots {
 		s := g.servers[slot]
 		if s == nil {
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -28,10 +28,14 @@
 	joinDelay = time.Second
 )
 
-// Action is a promote.Action for a group.
+// Action is a promote.Action for a group, or a command that records what the leader knows of an
+// announced one.
 type Action struct {
 	Group string
 	promote.Action
+	// Owners or Server are to be recorded.
+	Owners *wire.Owners
+	Server *wire.Announcement
 }
 
 // Leader is the control leader's soft state; it is not safe for concurrent use.
@@ -77,6 +81,8 @@
 	// due is when the group is looked at if nothing happens before; dirty is that something did.
 	due   time.Time
 	dirty bool
+	// recalled says that what was recorded of an announced group has been taken over.
+	recalled bool
 	// blind are VMs that could not reach a primary that answers the control leader.
 	blind map[string]time.Time
 }
@@ -123,6 +129,9 @@
 			l.groups[name].machine.Lead(now, primaryOf(l.State, name))
 		}
 		l.groups[name].machine.Announced = g.Announced
+		if g.Announced && !l.groups[name].recalled {
+			l.recall(now, name, l.groups[name])
+		}
 		if !g.Announced {
 			l.groups[name].machine.Slots = g.Slots
 		}
@@ -184,10 +193,15 @@
 		ConfigurationVersion: l.version,
 	}
 	response.Objects, response.ConfigurationWhole = l.State.Since(r.GetConfigurationVersion())
-	if !l.table.Adopting(now) {
-		l.directory.since(r, response)
+	if len(r.GetHoldings()) == 0 {
+		// Nothing is to be adopted, so that its report may end the adoption at once.
+		l.table.Heard(r.GetVm())
 	}
 	response.Grants = l.grants(now, m, r)
+	l.table.Heard(r.GetVm())
+	if l.complete(now) {
+		l.directory.since(r, response)
+	}
 	response.Drain = m.drain
 	return response
 }
@@ -211,10 +225,14 @@
 	}
 	g.dirty = g.dirty || news(g.servers[a.GetSlot()], a)
 	g.servers[a.GetSlot()] = &server{announcement: a, heard: now}
-	g.machine.Announce(promote.Status{
+	g.machine.Announce(statusOf(now, a))
+}
+
+func statusOf(now time.Time, a *wire.Announcement) promote.Status {
+	return promote.Status{
 		Slot: a.GetSlot(), Incarnation: a.GetIncarnation(), Primary: a.GetPrimary(), Term: a.GetTerm(),
 		Position: session.FromWire(a.GetPosition()), Leaving: a.GetLeaving(), Asked: now,
-	})
+	}
 }
 
 // news reports whether an announcement tells anything but a new position.
--- a/coord/leader/members.go
+++ b/coord/leader/members.go
@@ -20,6 +20,7 @@
 		m = &member{life: r.GetIncarnation(), joined: now}
 		if l.table.Adopting(now) {
 			m.joined = now.Add(-joinDelay)
+			m.owned = l.recordedFor(r.GetVm())
 		}
 		l.members[r.GetVm()] = m
 		l.stale = true
--- a/coord/lease/table.go
+++ b/coord/lease/table.go
@@ -56,6 +56,10 @@
 type entry struct {
 	group   Group
 	holders map[string]*holder
+	// known says that awaited lists every VM that may hold a lease of an earlier leader and has
+	// not been heard yet.
+	known   bool
+	awaited map[string]bool
 }
 
 // Table is the leader's record of leases; it is not safe for concurrent use.
@@ -83,14 +87,48 @@
 // Adopting reports whether leases of an earlier leader may still be held.
 func (t *Table) Adopting(now time.Time) bool { return now.Before(t.adoptUntil) }
 
-// Set says what is wanted for a group.
-func (t *Table) Set(name string, g Group) {
+// Await says which VMs may hold leases of an earlier leader on a group: once all of them have
+// been heard, nothing of those is unknown, and the group need not be adopted any longer.
+func (t *Table) Await(name string, vms []string) {
+	e := t.entry(name)
+	e.known = true
+	e.awaited = map[string]bool{}
+	for _, vm := range vms {
+		e.awaited[vm] = true
+	}
+}
+
+// Heard takes note that a VM has reported all that it holds.
+func (t *Table) Heard(vm string) {
+	for _, e := range t.entries {
+		delete(e.awaited, vm)
+	}
+}
+
+// AdoptingGroup reports whether leases of an earlier leader on a group may still be unknown.
+func (t *Table) AdoptingGroup(now time.Time, name string) bool {
+	return t.adopting(now, t.entries[name])
+}
+
+func (t *Table) adopting(now time.Time, e *entry) bool {
+	if e != nil && e.known && len(e.awaited) == 0 {
+		return false
+	}
+	return t.Adopting(now)
+}
+
+func (t *Table) entry(name string) *entry {
 	e := t.entries[name]
 	if e == nil {
 		e = &entry{holders: map[string]*holder{}}
 		t.entries[name] = e
 	}
-	e.group = g
+	return e
+}
+
+// Set says what is wanted for a group.
+func (t *Table) Set(name string, g Group) {
+	t.entry(name).group = g
 }
 
 // Remove wants nothing more for a group; its holders are told to stop.
@@ -146,7 +184,7 @@
 		h.connections = held.Connections
 		return h
 	}
-	if t.Adopting(now) {
+	if t.adopting(now, e) {
 		h = &holder{connections: held.Connections, ackTerm: held.Term, ackUntil: t.adoptUntil}
 		e.holders[vm] = h
 		return h
@@ -162,7 +200,7 @@
 
 // share returns how many connections vm may use without the group's limit being passed.
 func (t *Table) share(now time.Time, e *entry, vm string, h *holder) int {
-	if t.Adopting(now) {
+	if t.adopting(now, e) {
 		return h.connections
 	}
 	if !slices.Contains(e.group.Owners, vm) {
@@ -204,10 +242,10 @@
 
 // Fenced reports whether no VM can acknowledge a write in a term up to and including term.
 func (t *Table) Fenced(now time.Time, name string, term uint64) bool {
-	if t.Adopting(now) {
+	e := t.entries[name]
+	if t.adopting(now, e) {
 		return false
 	}
-	e := t.entries[name]
 	if e == nil {
 		return true
 	}
--- a/coord/state/machine.go
+++ b/coord/state/machine.go
@@ -29,11 +29,16 @@
 	oldestDelta uint64
 	number      uint64
 	document    []byte
+	owners      map[string]*wire.Owners
+	servers     map[string]map[string]*wire.Announcement
 }
 
 // New returns the state before the first command.
 func New() *Machine {
-	return &Machine{objects: map[config.Key]*wire.Object{}, primaries: map[string]*wire.Primary{}}
+	return &Machine{
+		objects: map[config.Key]*wire.Object{}, primaries: map[string]*wire.Primary{},
+		owners: map[string]*wire.Owners{}, servers: map[string]map[string]*wire.Announcement{},
+	}
 }
 
 // Version returns the configuration version, 0 before the first publish.
@@ -51,6 +56,12 @@
 // Primary returns the recorded primary of a group, or nil.
 func (m *Machine) Primary(group string) *wire.Primary { return m.primaries[group] }
 
+// Owners returns the recorded owners of an announced group, or nil.
+func (m *Machine) Owners(group string) *wire.Owners { return m.owners[group] }
+
+// Servers returns the recorded servers of an announced group by slot; it must not be changed.
+func (m *Machine) Servers(group string) map[string]*wire.Announcement { return m.servers[group] }
+
 // History returns the accepted versions, oldest first.
 func (m *Machine) History() []*wire.HistoryEntry { return slices.Clone(m.history) }
 
@@ -63,6 +74,13 @@
 	if p := command.GetPrimary(); p != nil {
 		m.applyPrimary(p)
 	}
+	if o := command.GetOwners(); o != nil {
+		m.owners[o.GetGroup()] = o
+		m.recorded++
+	}
+	if a := command.GetServer(); a != nil {
+		m.applyServer(a)
+	}
 	if p := command.GetPublish(); p != nil {
 		return m.applyPublish(p), nil
 	}
@@ -88,6 +106,20 @@
 	return result
 }
 
+func (m *Machine) applyServer(a *wire.Announcement) {
+	m.recorded++
+	servers := m.servers[a.GetGroup()]
+	if a.GetGone() {
+		delete(servers, a.GetSlot())
+		return
+	}
+	if servers == nil {
+		servers = map[string]*wire.Announcement{}
+		m.servers[a.GetGroup()] = servers
+	}
+	servers[a.GetSlot()] = a
+}
+
 func (m *Machine) applyPublish(p *wire.PublishRequest) *wire.PublishResult {
 	if p.GetNumber() > 0 {
 		return m.applyNumbered(p)
@@ -227,6 +259,14 @@
 	for _, group := range slices.Sorted(maps.Keys(m.primaries)) {
 		s.Primaries = append(s.Primaries, m.primaries[group])
 	}
+	for _, group := range slices.Sorted(maps.Keys(m.owners)) {
+		s.Owners = append(s.Owners, m.owners[group])
+	}
+	for _, group := range slices.Sorted(maps.Keys(m.servers)) {
+		for _, slot := range slices.Sorted(maps.Keys(m.servers[group])) {
+			s.Servers = append(s.Servers, m.servers[group][slot])
+		}
+	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
 		panic(fmt.Sprintf("state: snapshot does not encode: %v", err))
@@ -255,6 +295,12 @@
 	for _, p := range s.GetPrimaries() {
 		m.primaries[p.GetGroup()] = p
 	}
+	for _, o := range s.GetOwners() {
+		m.owners[o.GetGroup()] = o
+	}
+	for _, a := range s.GetServers() {
+		m.applyServer(a)
+	}
 	return nil
 }
 
--- a/entry/runner/execute.go
+++ b/entry/runner/execute.go
@@ -217,6 +217,10 @@
 		return nil, refusal(t.refused)
 	}
 	p := &place{group: g, slot: t.slot, at: at, onPrimary: t.slot == at.primary, running: true, asked: clock.Now()}
+	if job.Primary && !p.onPrimary {
+		g.done(t.slot, 0, true)
+		return nil, elsewhere("the primary changed while the statement waited")
+	}
 	if p.onPrimary && !g.enterPrimary(at) {
 		g.done(t.slot, 0, true)
 		return nil, elsewhere("the lease on the primary ended while the statement waited")
--- a/entry/runner/group.go
+++ b/entry/runner/group.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -33,8 +34,10 @@
 	// onPrimary counts statements and transactions on the primary.
 	onPrimary    int
 	closingSince time.Time
-	probing      bool
-	replicas     map[string]*replica
+	// reported is when the load was last logged.
+	reported time.Time
+	probing  bool
+	replicas map[string]*replica
 	// watched are reads that are tried elsewhere if their server falls silent.
 	watched map[*place]bool
 	// active says that this VM has had the lease of the term: before, the primary may not lead yet.
@@ -268,10 +271,33 @@
 	g.starts[j.ID] = waiter
 	started, refused := g.queue.Submit(clock.Now(), j)
 	g.deliver(started, refused)
+	report := g.pressed(refused)
 	g.mu.Unlock()
+	if report != "" {
+		g.runner.Log.WithFields(map[string]any{"group": g.name, "term": g.term, "loads": report}).Info("work is refused")
+	}
 	return <-waiter
 }
 
+// pressed describes the queue when something is refused, at most once a second; mu is held.
+func (g *group) pressed(refused []dispatch.Refusal) string {
+	now := clock.Now()
+	if len(refused) == 0 || now.Sub(g.reported) < time.Second {
+		return ""
+	}
+	g.reported = now
+	text := fmt.Sprintf("waiting %d, predicted %v", g.queue.Waiting(), refused[0].Wait)
+	for _, l := range g.queue.Loads() {
+		text += fmt.Sprintf("; %s primary %t running %d of %d, %v each", l.Slot, l.Primary, l.Running, l.Limit, l.Service)
+		if r := g.replicas[l.Slot]; r != nil && !l.Primary {
+			text += fmt.Sprintf(", at %v %v ago, behind %v", r.Replayed, now.Sub(r.Reported), r.Lag)
+		}
+	}
+	latest, asked := g.seen.Latest()
+	text += fmt.Sprintf("; seen %v %v ago", latest, now.Sub(asked))
+	return text
+}
+
 // done gives a server's place to the next.
 func (g *group) done(slot string, took time.Duration, answered bool) {
 	g.mu.Lock()
--- a/entry/runner/replicas.go
+++ b/entry/runner/replicas.go
@@ -16,6 +16,8 @@
 	silenceLimit = 400 * time.Millisecond
 	// reportLife is how long a replica's position is believed; then one read finds it out anew.
 	reportLife = 250 * time.Millisecond
+	// soon is a wait that a read may be expected to have behind it when it reaches the server.
+	soon = 3 * time.Millisecond
 )
 
 // replica is what is known of a server's log and answers.
@@ -52,7 +54,7 @@
 	var slots []string
 	for slot, r := range g.replicas {
 		fresh := slot != g.primary && now.Sub(r.Reported) <= reportLife
-		if fresh && route.Predict(now, &g.seen, r.Server, floor) > 0 {
+		if fresh && route.Predict(now, &g.seen, r.Server, floor) > soon {
 			slots = append(slots, slot)
 		}
 	}
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -53,8 +53,23 @@
 	}, true
 }
 
-// Confirmed reports whether this VM may act on the configuration that it knows.
-func (s *Sessions) Confirmed() bool { return s.View.Confirmed() }
+// Confirmed reports whether this VM may act on the configuration that it knows; it waits for that
+// a little, since a VM that has just started will soon be told.
+func (s *Sessions) Confirmed(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	for {
+		changed := s.View.Changed()
+		if s.View.Confirmed() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
 
 func (s *Sessions) name() string {
 	return s.VM + "/" + s.Life + "/" + strconv.FormatUint(s.next.Add(1), 36)
@@ -125,5 +140,8 @@
 	}
 }
 
+// confirmWait is half of what callers wait for a session to begin.
+const confirmWait = time.Second
+
 // endTimeout is enough for any link that works.
 const endTimeout = time.Second
