--- a/entry/runner/replicas.go
+++ b/entry/runner/replicas.go
@@ -16,6 +16,8 @@
 	silenceLimit = 400 * time.Millisecond
 	// reportLife is how long a replica's position is believed; then one read finds it out anew.
 	reportLife = 250 * time.Millisecond
+	// oldLag stands for a position that is older than all that is remembered of the primary.
+	oldLag = time.Minute
 	// soon is a wait that a read may be expected to have behind it when it reaches the server.
 	soon = 3 * time.Millisecond
 )
@@ -41,6 +43,7 @@
 		return
 	}
 	r.Replayed, r.Reported = reply.Position, now
+	r.Lag = oldLag
 	if age, ok := g.seen.Age(asked, reply.Position); ok {
 		r.Lag = max(0, age)
 	}
--- a/entry/runner/watch.go
+++ b/entry/runner/watch.go
@@ -36,9 +36,6 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.closingSince.IsZero() {
-		return false
-	}
 	g.onPrimary++
 	return true
 }
