control, entry: a restart is over sooner, and VMs out of touch send callers away sooner

Cause: after a restart owners asked again only after a quarter of a lease, although the leader had heard all of them; elections waited for 0.4 s; a VM cut from control kept callers for 2.5 s and held statements that nobody near could serve. Change: the leader asks for early renewals while it adopts; elections after 0.3 s; health turns bad after 1 s, idle sessions are closed and statements refused at once after 1.8 s; a replica that is far behind is asked less often.

--- a/control/server.go
+++ b/control/server.go
@@ -24,8 +24,8 @@
 const (
 	tickInterval = 20 * time.Millisecond
 	// electionTimeout is a part of the time that callers wait, and many round trips.
-	electionTimeout   = 400 * time.Millisecond
-	heartbeatInterval = 80 * time.Millisecond
+	electionTimeout   = 300 * time.Millisecond
+	heartbeatInterval = 60 * time.Millisecond
 	// ConfirmWithin is how long an entry VM works by a configuration it last confirmed.
 	ConfirmWithin = 6 * time.Second
 	// compactAfter is the number of log entries after which a snapshot replaces them.
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -201,6 +201,8 @@
 	l.table.Heard(r.GetVm())
 	if l.complete(now) {
 		l.directory.since(r, response)
+	} else {
+		response.Soon = true
 	}
 	response.Drain = m.drain
 	return response
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -186,7 +186,7 @@
 	if response.GetDrain() {
 		c.Drain()
 	}
-	return urgent
+	return urgent || response.GetSoon()
 }
 
 // note counts a failed renewal, and logs when the control leader is lost or heard again.
--- a/entry/owner/group.go
+++ b/entry/owner/group.go
@@ -136,7 +136,7 @@
 }
 
 // report tells the control leader what is held; the most that may be open from now on.
-func (g *group) report(now time.Time) (*wire.Holding, *wire.Observation) {
+func (g *group) report() (*wire.Holding, *wire.Observation) {
 	allowed := g.owner.View.Connections(g.name)
 	holding := &wire.Holding{
 		Group: g.name, Connections: uint32(max(g.pool.open(), allowed)), Demand: uint32(g.load()),
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -107,7 +107,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for name, g := range o.groups {
-		holding, observation := g.report(now)
+		holding, observation := g.report()
 		r.Holdings = append(r.Holdings, holding)
 		if observation != nil {
 			r.Observations = append(r.Observations, observation)
--- a/entry/runner/replicas.go
+++ b/entry/runner/replicas.go
@@ -14,8 +14,11 @@
 	// tried elsewhere; a slow server that answers others is waited for, since what it was asked
 	// goes on occupying it.
 	silenceLimit = 400 * time.Millisecond
-	// reportLife is how long a replica's position is believed; then one read finds it out anew.
-	reportLife = 250 * time.Millisecond
+	// minReportLife and maxReportLife bound how long a replica's position is believed before a
+	// read finds it out anew: the further behind it was, the longer.
+	minReportLife = 100 * time.Millisecond
+	maxReportLife = time.Second
+	reportDivisor = 4
 	// oldLag stands for a position that is older than all that is remembered of the primary.
 	oldLag = time.Minute
 	// soon is a wait that a read may be expected to have behind it when it reaches the server.
@@ -56,7 +59,7 @@
 	defer g.mu.Unlock()
 	var slots []string
 	for slot, r := range g.replicas {
-		fresh := slot != g.primary && now.Sub(r.Reported) <= reportLife
+		fresh := slot != g.primary && now.Sub(r.Reported) <= min(maxReportLife, max(minReportLife, r.Lag/reportDivisor))
 		if fresh && route.Predict(now, &g.seen, r.Server, floor) > soon {
 			slots = append(slots, slot)
 		}
--- a/entry/sessions/owners.go
+++ b/entry/sessions/owners.go
@@ -18,6 +18,9 @@
 	// holdDivisor is the inverse of the share of a statement's time for which it is held while no
 	// owner may run it: after that its caller is told, with time left to try again.
 	holdDivisor = 3
+	// OutOfTouch is how long a VM that hears no control leader keeps callers: longer than a new
+	// leader needs, and short for callers whom another VM could serve.
+	OutOfTouch = 1800 * time.Millisecond
 	// comeBack is when a caller may try again that no owner could serve: owners and primaries
 	// change within seconds.
 	comeBack = 300 * time.Millisecond
@@ -41,7 +44,8 @@
 			}
 			last = a
 		}
-		if clock.Now().Sub(began) >= limit/holdDivisor || !pause(ctx, changed) {
+		held := clock.Now().Sub(began)
+		if held >= limit/holdDivisor || s.View.Age() > OutOfTouch || !pause(ctx, changed) {
 			return &wire.StatementAnswer{
 				Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: last.GetReason(),
 				RetryMilliseconds: uint32(comeBack.Milliseconds()),
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -20,8 +20,7 @@
 	floor    session.Position
 	state    statement.State
 	// unit is the transaction that the session is in; owner is empty until its first statement.
-	unit  transaction
-	tally int
+	unit transaction
 }
 
 type transaction struct {
--- a/entry/statements.go
+++ b/entry/statements.go
@@ -25,9 +25,9 @@
 	rotationDelay = 2200 * time.Millisecond
 	// stopMargin is what is left of the grace when the daemon ends by itself.
 	stopMargin = 500 * time.Millisecond
-	// outOfTouch is how long a VM that hears no control leader takes callers: longer than a new
-	// leader needs, and short for callers whom another VM could serve.
-	outOfTouch = 2500 * time.Millisecond
+	// unheard is how long a VM may hear no control leader and look healthy: a balancer wants two
+	// bad answers, so that a change of leaders does not move callers.
+	unheard = time.Second
 	// touchInterval is how often that is looked at.
 	touchInterval = 250 * time.Millisecond
 )
@@ -180,7 +180,7 @@
 // sendAway closes the sessions on which nothing is under way once this VM is out of touch, so
 // that callers come back to another one.
 func (s *StatementServer) sendAway() {
-	away := s.view.Version() > 0 && s.view.Age() > outOfTouch
+	away := s.view.Version() > 0 && s.view.Age() > sessions.OutOfTouch
 	if away == s.away {
 		return
 	}
@@ -203,7 +203,7 @@
 	switch {
 	case s.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case !s.view.Confirmed() || s.view.Age() > outOfTouch:
+	case !s.view.Confirmed() || s.view.Age() > unheard:
 		http.Error(w, "the control leader is not heard", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
