coord/dispatch, entry/runner: work that can be in time goes first, late reads are asked twice

Cause: after each standstill the backlog was served in order of arrival, which made every answer late until it was gone; an answer that was lost held its read, and a place on the server, for the whole time of the statement; replies that ran nothing counted as short service. Change: among equally urgent work that goes first whose answer can be in time (TestBacklogAfterAStandstill); a read that takes six times the usual is asked a second time within the retry budget (TestLostAnswerOfARead); refusals are no service time.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -42,6 +42,8 @@
 	Priority int
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Time
+	// Objective is when its answer is late for the caller; zero says nothing.
+	Objective time.Time
 	// Slot is the only server that may run it, or empty.
 	Slot string
 	// Primary says that only the primary may run it.
@@ -188,13 +190,16 @@
 	return cmp.Compare(a.Priority, b.Priority)
 }
 
-// Done takes note that a job on a server has ended; ok says that the server answered.
+// Done takes note that a job on a server has ended; ok says that the server answered, and took,
+// unless it is 0, how long it worked.
 func (q *Queue) Done(now time.Time, slot string, took time.Duration, ok bool) ([]Start, []Refusal) {
 	if s := q.servers[slot]; s != nil {
 		s.running = max(0, s.running-1)
 		if ok {
 			s.failures = 0
-			s.service += (took - s.service) / serviceWeight
+			if took > 0 {
+				s.service += (took - s.service) / serviceWeight
+			}
 		} else if s.failures++; s.failures >= failureLimit {
 			s.retryAt = now.Add(failurePause)
 		}
@@ -205,17 +210,14 @@
 // Tick refuses what has waited too long or has lost its servers, and starts what may.
 func (q *Queue) Tick(now time.Time) ([]Start, []Refusal) { return q.start(now) }
 
+// start runs what may run now, and refuses what has waited too long or has lost its servers.
 func (q *Queue) start(now time.Time) ([]Start, []Refusal) {
-	var started []Start
 	var refused []Refusal
 	kept := q.waiting[:0]
 	for _, j := range q.waiting {
-		switch s := q.choose(now, j); {
+		switch {
 		case !now.Before(j.Deadline):
 			refused = append(refused, Refusal{Job: j.ID, Reason: TooLate})
-		case s != nil:
-			s.running++
-			started = append(started, Start{j.ID, s.Slot})
 		case !q.servable(now, j):
 			refused = append(refused, Refusal{Job: j.ID, Reason: NoServer})
 		default:
@@ -223,7 +225,38 @@
 		}
 	}
 	q.waiting = kept
-	return started, refused
+	var started []Start
+	for {
+		i, s := q.next(now)
+		if s == nil {
+			return started, refused
+		}
+		s.running++
+		started = append(started, Start{q.waiting[i].ID, s.Slot})
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+}
+
+// next returns the job whose turn it is and its server, or nil. Among jobs that are equally
+// urgent those come first whose answer can still be in time: after a standstill, serving the
+// oldest first would make every answer late.
+func (q *Queue) next(now time.Time) (int, *server) {
+	late := -1
+	var lateServer *server
+	for i, j := range q.waiting {
+		if late >= 0 && order(q.waiting[late], j) < 0 {
+			break
+		}
+		s := q.choose(now, j)
+		switch {
+		case s == nil:
+		case j.Objective.IsZero() || !now.Add(s.service).After(j.Objective):
+			return i, s
+		case late < 0:
+			late, lateServer = i, s
+		}
+	}
+	return late, lateServer
 }
 
 // usable reports whether a server may run a job at all.
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -84,3 +84,43 @@
 	_, refused := q.Submit(at(0), dispatch.Job{ID: 3, Slot: "r", Pinned: true, Deadline: at(500)})
 	is.Equal(refused[0].Reason, dispatch.NoServer)
 }
+
+// TestBacklogAfterAStandstill has callers go on asking while nothing is served for two seconds:
+// first come first served would answer each of them late for as long as the backlog lasts.
+func TestBacklogAfterAStandstill(t *testing.T) {
+	is := is.New(t)
+	q := &dispatch.Queue{FailureDomain: "d1"}
+	q.SetServers([]dispatch.Server{{Slot: "p", Limit: 1, Primary: true}})
+	const work, aim = 10, 200
+	running, _ := q.Submit(at(0), dispatch.Job{ID: 1_000_000, Primary: true, Deadline: at(60_000)})
+	is.Equal(len(running), 1)
+	for ms := 0; ms < 2000; ms += 20 {
+		_, _ = q.Submit(at(ms), dispatch.Job{ID: uint64(ms), Primary: true, Deadline: at(60_000), Objective: at(ms + aim)})
+	}
+	inTime, served := 0, 0
+	for ms := 2000; ms < 4000; ms += work {
+		if ms%20 == 0 {
+			_, _ = q.Submit(at(ms), dispatch.Job{ID: uint64(ms), Primary: true, Deadline: at(60_000), Objective: at(ms + aim)})
+		}
+		started, _ := q.Done(at(ms), "p", work*time.Millisecond, true)
+		for _, s := range started {
+			served++
+			if s.Job >= 2000 && int(s.Job)+aim >= ms+work {
+				inTime++
+			}
+		}
+	}
+	is.True(inTime >= 98)  // of the 100 that came after it
+	is.True(served >= 190) // and the late ones meanwhile
+}
+
+func TestRefusalsDoNotCountAsService(t *testing.T) {
+	is := is.New(t)
+	q := queue()
+	before := q.Service("r")
+	for range 20 {
+		_, _ = q.Submit(at(0), dispatch.Job{ID: 1, Deadline: at(500)})
+		_, _ = q.Done(at(1), "r", 0, true)
+	}
+	is.Equal(q.Service("r"), before)
+}
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -16,6 +16,9 @@
 	// driftDivisor is the inverse of the clock rate error that leases tolerate between two VMs.
 	driftDivisor     = 50
 	maxAppendEntries = 256
+	// stepsPerTimeout divides an election timeout into the steps between two voters' own times,
+	// each many round trips.
+	stepsPerTimeout = 4
 )
 
 // Role is what a node is in its term.
@@ -309,8 +312,15 @@
 	n.effects.Hard = &wire.HardState{Term: n.term, Vote: n.vote}
 }
 
+// resetDeadline gives each voter a time of its own, in the order of their keys, so that two of
+// them seldom ask for votes at once; what is left to chance keeps them apart when clocks differ.
 func (n *Node) resetDeadline(now time.Time) {
-	jitter := time.Duration(n.random.Int64N(int64(n.ElectionTimeout)))
+	step := n.ElectionTimeout / stepsPerTimeout
+	rank := 0
+	if n.membership != nil {
+		rank = max(0, slices.Index(voters(n.membership), n.Self))
+	}
+	jitter := time.Duration(rank)*step + time.Duration(n.random.Int64N(int64(step)))
 	n.deadline = now.Add(n.ElectionTimeout + n.ElectionTimeout/driftDivisor + jitter)
 }
 
--- a/entry/runner/execute.go
+++ b/entry/runner/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,10 @@
 	maxAttempts = 4
 	// busyPause is how long a server whose queue is full is left before it is asked again.
 	busyPause = 10 * time.Millisecond
+	// hedgeInterval is the least time, and hedgeFactor how many times the usual one, after which a
+	// read is asked a second time: few reads take as long.
+	hedgeInterval = 120 * time.Millisecond
+	hedgeFactor   = 6
 )
 
 // work is one statement on its way.
@@ -32,6 +37,11 @@
 	deadline  time.Time
 	staleness time.Duration
 	own       session.Position
+
+	// mu guards where the first attempt of a read runs, and since when.
+	mu     sync.Mutex
+	slot   string
+	placed time.Time
 }
 
 // left returns the end of the statement's time for connections.
@@ -96,15 +106,55 @@
 	return answered(reply)
 }
 
-// read runs a read, or begins a transaction that only reads, wherever the log is fresh enough.
+// read runs a read, or begins a transaction that only reads, wherever the log is fresh enough. A
+// read that stands alone and is late is asked a second time: an answer may have been lost.
 func (r *Runner) read(ctx context.Context, w *work) *wire.StatementAnswer {
-	var avoid []string
+	if w.request.GetUnit() != "" {
+		return r.readAnywhere(ctx, w, nil)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.group.spend(false)
+	answers := make(chan *wire.StatementAnswer, 2)
+	go func() { answers <- r.readAnywhere(ctx, w, nil) }()
+	ticker := time.NewTicker(hedgeInterval)
+	defer ticker.Stop()
+	for asked := 1; ; {
+		select {
+		case a := <-answers:
+			if asked == 1 || a.GetDisposition() == wire.Disposition_DISPOSITION_ANSWERED {
+				return a
+			}
+			asked--
+		case <-ticker.C:
+			if slot, late := w.late(); asked == 1 && late && w.group.spend(true) {
+				asked++
+				w.group.runner.Metrics.Retries.Add(1)
+				go func() { answers <- r.readAnywhere(ctx, w, []string{slot}) }()
+			}
+		}
+	}
+}
+
+// late reports whether the server that works on a read takes much longer than it usually does.
+func (w *work) late() (string, bool) {
+	w.mu.Lock()
+	slot, since := w.slot, w.placed
+	w.mu.Unlock()
+	if slot == "" {
+		return "", false
+	}
+	usual := hedgeFactor * w.group.service(slot)
+	return slot, clock.Now().Sub(since) >= max(hedgeInterval, usual)
+}
+
+func (r *Runner) readAnywhere(ctx context.Context, w *work, avoid []string) *wire.StatementAnswer {
 	last := elsewhere("no server may run the read")
-	for range maxAttempts {
+	for tried := range maxAttempts {
 		job, floor := w.choice(avoid)
 		p, refused := w.place(ctx, job)
 		if refused != nil {
-			if len(avoid) > 0 {
+			if tried > 0 {
 				return last
 			}
 			return refused
@@ -112,7 +162,10 @@
 		if p.onPrimary {
 			floor = session.Position{}
 		}
-		reply, err := w.tryRead(p, floor)
+		w.mu.Lock()
+		w.slot, w.placed = p.slot, clock.Now()
+		w.mu.Unlock()
+		reply, err := w.tryRead(ctx, p, floor)
 		if w.usable(p, reply, err) {
 			r.countRead(p)
 			if w.request.GetUnit() != "" && reply.State == 'T' {
@@ -153,7 +206,11 @@
 }
 
 // tryRead runs the read, in a transaction of its own if it begins one.
-func (w *work) tryRead(p *place, floor session.Position) (Reply, error) {
+func (w *work) tryRead(ctx context.Context, p *place, floor session.Position) (Reply, error) {
+	// Whoever has the answer elsewhere ends the attempt, which frees its place.
+	stop := context.AfterFunc(ctx, p.link.Interrupt)
+	// An interruption that has begun may still reach the connection after this use of it.
+	defer func() { p.spoiled = !stop() }()
 	if w.request.GetUnit() == "" {
 		return p.run(w, floor)
 	}
@@ -196,8 +253,12 @@
 	pool      *pool
 	asked     time.Time
 	answered  bool
+	// took is how long the server worked on the last statement; 0 if it did not run it.
+	took time.Duration
 	// running says that a place in the server's queue is taken.
 	running bool
+	// spoiled connections may be interrupted at any time.
+	spoiled bool
 }
 
 // place waits for a server and a connection; the answer says why there is none.
@@ -205,6 +266,9 @@
 	g := w.group
 	job.Priority = w.database.Priority
 	job.Deadline = w.deadline
+	if w.database.LatencyMilliseconds > 0 {
+		job.Objective = w.began.Add(time.Duration(w.database.LatencyMilliseconds) * time.Millisecond)
+	}
 	at, leads := g.leads()
 	if job.Primary && !leads {
 		return nil, elsewhere("this entry VM has no lease on the primary")
@@ -293,9 +357,13 @@
 // no good as a primary.
 func (p *place) noteReply(reply Reply, err error) {
 	p.answered = err == nil
+	p.took = 0
 	if err != nil {
 		return
 	}
+	if reply.Verdict == Succeeded || reply.Verdict == RanAndFailed {
+		p.took = clock.Now().Sub(p.asked)
+	}
 	if p.onPrimary && reply.Verdict != ReadOnly {
 		p.group.noteAnswered(p.asked)
 	}
@@ -311,7 +379,7 @@
 
 // release gives the connection back, or closes it, and ends the place.
 func (p *place) release(clean bool) {
-	p.pool.put(p.link, clean)
+	p.pool.put(p.link, clean && !p.spoiled)
 	if !p.answered {
 		p.pool.drop()
 	}
@@ -322,7 +390,7 @@
 func (p *place) leave(answered bool) {
 	if p.running {
 		p.running = false
-		p.group.done(p.slot, clock.Now().Sub(p.asked), answered)
+		p.group.done(p.slot, p.took, answered)
 	}
 	if p.onPrimary {
 		p.group.leavePrimary()
@@ -332,7 +400,7 @@
 // rest gives the place in the server's queue to others, while a transaction keeps the connection.
 func (p *place) rest() {
 	p.running = false
-	p.group.done(p.slot, clock.Now().Sub(p.asked), p.answered)
+	p.group.done(p.slot, p.took, p.answered)
 }
 
 func answered(r Reply) *wire.StatementAnswer {
--- a/entry/runner/group.go
+++ b/entry/runner/group.go
@@ -8,6 +8,7 @@
 	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/dispatch"
 	"trefoilcourse/coord/health"
+	"trefoilcourse/coord/retry"
 	"trefoilcourse/coord/route"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/wire"
@@ -38,6 +39,7 @@
 	reported time.Time
 	probing  bool
 	replicas map[string]*replica
+	budget   retry.Budget
 	// watched are reads that are tried elsewhere if their server falls silent.
 	watched map[*place]bool
 	// active says that this VM has had the lease of the term: before, the primary may not lead yet.
--- a/entry/runner/replicas.go
+++ b/entry/runner/replicas.go
@@ -95,3 +95,21 @@
 		}
 	}
 }
+
+// service returns the time that a server usually takes.
+func (g *group) service(slot string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Service(slot)
+}
+
+// spend counts a read, or reports whether a second attempt of one is within the group's budget.
+func (g *group) spend(again bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if again {
+		return g.budget.Take()
+	}
+	g.budget.Request()
+	return true
+}
--- a/entry/runner/runner_test.go
+++ b/entry/runner/runner_test.go
@@ -157,7 +157,7 @@
 	is := is.New(t)
 	running := make(chan bool)
 	release := make(chan bool)
-	o := own(t, func(slot, text string, _ session.Position) (runner.Reply, error) {
+	o := own(t, func(_, text string, _ session.Position) (runner.Reply, error) {
 		if text == "write" {
 			running <- true
 			<-release
@@ -246,3 +246,24 @@
 	})
 	is.Equal(o.execute(write()).GetDisposition(), answered)
 }
+
+// TestLostAnswerOfARead has a server run a read and lose its answer: another one is asked, and
+// the connection of the first is not used again.
+func TestLostAnswerOfARead(t *testing.T) {
+	is := is.New(t)
+	var lost atomic.Bool
+	gone := make(chan bool)
+	o := own(t, func(_, text string, _ session.Position) (runner.Reply, error) {
+		if text == "read" && lost.CompareAndSwap(false, true) {
+			<-gone
+			return runner.Reply{}, errLost
+		}
+		return good(60), nil
+	})
+	is.Equal(o.execute(write()).GetDisposition(), answered)
+	is.Equal(o.execute(read("aged")).GetDisposition(), answered)
+	close(gone)
+	all := o.servers.asked()
+	is.Equal(len(all), 3)
+	is.True(all[1].slot != all[2].slot)
+}
