--- a/entry/internal/metrics/metrics.go
+++ b/entry/internal/metrics/metrics.go
@@ -36,6 +36,9 @@
 	services map[string]*Service
 	all      expvar.Map
 	byName   expvar.Map
+
+	latencies map[string]*Latency
+	latency   expvar.Map
 }
 
 // Service counts requests against a service's objective.
@@ -56,7 +59,7 @@
 		"floors-known": &m.FloorsKnown, "floors-by-token": &m.FloorsByToken,
 		"floors-conservative": &m.FloorsConserved, "link-streams": &m.LinkStreams,
 		"announcements-accepted": &m.AnnounceAccepted, "announcements-refused": &m.AnnounceRefused,
-		"services": &m.byName,
+		"services": &m.byName, "latency": &m.latency,
 	} {
 		m.all.Set(key, value)
 	}
@@ -95,3 +98,19 @@
 	}
 	return s
 }
+
+// Latency returns the histogram of statements with an outcome.
+func (m *Metrics) Latency(outcome string) *Latency {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.latencies[outcome]
+	if l == nil {
+		if m.latencies == nil {
+			m.latencies = map[string]*Latency{}
+		}
+		l = &Latency{}
+		m.latencies[outcome] = l
+		m.latency.Set(outcome, l)
+	}
+	return l
+}
--- /dev/null
+++ b/entry/internal/metrics/text.go
@@ -0,0 +1,38 @@
+package metrics
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Text serves the counters of this process as lines of a name and a number, names of nested
+// values joined by underscores.
+func Text(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	expvar.Do(func(kv expvar.KeyValue) {
+		if !strings.HasPrefix(kv.Key, "trefoil") {
+			return
+		}
+		var value any
+		if err := json.Unmarshal([]byte(kv.Value.String()), &value); err != nil {
+			return
+		}
+		writeText(w, "trefoil", value)
+	})
+}
+
+func writeText(w io.Writer, name string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for key, inner := range v {
+			writeText(w, name+"_"+strings.ToLower(strings.ReplaceAll(key, "-", "_")), inner)
+		}
+	case float64:
+		// A reader that has gone away is none of the counters' concern.
+		_, _ = fmt.Fprintf(w, "%s %v\n", name, v)
+	}
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -103,7 +103,7 @@
 }
 
 // Report fills in what this VM holds and has found out about primaries.
-func (o *Owner) Report(now time.Time, r *wire.RenewRequest) (urgent bool) {
+func (o *Owner) Report(_ time.Time, r *wire.RenewRequest) (urgent bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for name, g := range o.groups {
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/entry/statement"
 	"trefoilcourse/wire"
@@ -40,8 +41,10 @@
 
 // Do has one statement run and says what became of it.
 func (s *Session) Do(ctx context.Context, q statement.Statement) statement.Answer {
+	began := clock.Now()
 	a := s.do(ctx, q)
 	a.State = s.State()
+	s.sessions.Metrics.Latency(a.Outcome.String()).Record(clock.Now().Sub(began))
 	return a
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -13,13 +13,16 @@
 
 // Settings is what an entry VM reads from its settings file.
 type Settings struct {
-	VM            string   `json:"vm"`
-	FailureDomain string   `json:"failure-domain"`
-	Callers       string   `json:"callers"`
-	Links         string   `json:"links"`
-	HTTP          string   `json:"http"`
-	Advertise     string   `json:"advertise,omitempty"`
-	Control       []string `json:"control,omitempty"`
+	VM            string `json:"vm"`
+	FailureDomain string `json:"failure-domain"`
+	Callers       string `json:"callers"`
+	Links         string `json:"links"`
+	HTTP          string `json:"http"`
+	Advertise     string `json:"advertise,omitempty"`
+	// Metrics serves the counters as text under /metrics, and as JSON under /debug/vars; empty
+	// serves the latter on HTTP alone.
+	Metrics string   `json:"metrics,omitempty"`
+	Control []string `json:"control,omitempty"`
 	// Seeds are hosts or addresses of some control VMs, instead of Control; AgreementPort is the
 	// one on which control VMs listen for the system's processes.
 	Seeds         []string `json:"seeds,omitempty"`
--- a/entry/statement/statement.go
+++ b/entry/statement/statement.go
@@ -78,6 +78,11 @@
 	Unreadable
 )
 
+// String returns the outcome's name in kebab case.
+func (o Outcome) String() string {
+	return [...]string{"unknown", "done", "server-error", "not-run", "rolled-back", "no-database", "no-statement", "unreadable"}[o]
+}
+
 // Answer is what a caller is told.
 type Answer struct {
 	Outcome Outcome
--- a/entry/statements.go
+++ b/entry/statements.go
@@ -20,6 +20,7 @@
 )
 
 const (
+	metricsPath = "/metrics"
 	// rotationDelay is how long a balancer may go on sending callers after the health answer has
 	// turned bad: it asks each second and wants two bad answers.
 	rotationDelay = 2200 * time.Millisecond
@@ -72,6 +73,8 @@
 	callers  net.Listener
 	links    net.Listener
 	http     net.Listener
+	// metricsAt is nil if the settings name no address for counters.
+	metricsAt net.Listener
 }
 
 // Run serves until ctx ends and what was under way has ended or the grace has, or until a
@@ -99,6 +102,15 @@
 	for _, part := range parts {
 		go func() { ended <- part() }()
 	}
+	if s.metricsAt != nil {
+		mux := http.NewServeMux()
+		mux.HandleFunc(metricsPath, metrics.Text)
+		mux.Handle(variablesPath, expvar.Handler())
+		counters := &http.Server{Handler: mux, ReadHeaderTimeout: httpTimeout}
+		context.AfterFunc(work, func() { _ = counters.Close() })
+		// Without counters the VM still serves; their end is not its end.
+		go func() { s.Log.WithError(counters.Serve(s.metricsAt)).Info("counters are served no more") }()
+	}
 	running := len(parts)
 	touch := time.NewTicker(touchInterval)
 	defer touch.Stop()
@@ -141,7 +153,12 @@
 		}
 		*l.listener = opened
 	}
-	return nil
+	if s.Settings.Metrics == "" {
+		return nil
+	}
+	opened, err := open(s.Settings.Metrics)
+	s.metricsAt = opened
+	return err
 }
 
 func (s *StatementServer) build() {
