--- a/coord/state/state_test.go
+++ b/coord/state/state_test.go
@@ -105,3 +105,54 @@
 	apply(3, "a")
 	is.Equal(m.Primary("g").GetSlot(), "b")
 }
+
+// TestNumberedPublishes has two operators send, late and again: the highest number is in force,
+// and other content under a number that is held is never obeyed.
+func TestNumberedPublishes(t *testing.T) {
+	is := is.New(t)
+	m := state.New()
+	send := func(number uint64, body string) *wire.PublishResult {
+		data, err := proto.Marshal(&wire.Command{Publish: &wire.PublishRequest{
+			Id: fmt.Sprint(number, body), Number: number, Document: []byte(body),
+			Objects: []*wire.Object{{Kind: "read-policy", Name: "x", Body: []byte(body)}},
+		}})
+		is.NoErr(err)
+		result, err := m.Apply(data)
+		is.NoErr(err)
+		return result
+	}
+	for _, step := range []struct {
+		number uint64
+		body   string
+		want   string
+	}{{3, "a", "a"}, {2, "b", "a"}, {3, "c", "a"}, {9, "d", "d"}, {3, "a", "d"}, {9, "e", "d"}} {
+		is.True(send(step.number, step.body).GetAccepted()) // each is acknowledged
+		is.Equal(string(m.Document()), step.want)
+		is.Equal(string(m.Objects()[0].GetBody()), step.want)
+	}
+	again := state.New()
+	is.NoErr(again.Restore(m.Snapshot()))
+	is.Equal(again.Number(), uint64(9))
+	is.Equal(string(again.Document()), "d")
+}
+
+// TestOwnersAndServersSurvive: a leader that starts from a snapshot knows who may hold leases.
+func TestOwnersAndServersSurvive(t *testing.T) {
+	is := is.New(t)
+	m := state.New()
+	apply := func(c *wire.Command) {
+		data, err := proto.Marshal(c)
+		is.NoErr(err)
+		_, err = m.Apply(data)
+		is.NoErr(err)
+	}
+	apply(&wire.Command{Owners: &wire.Owners{Group: "g", Vms: []string{"e1"}, Former: []string{"e2"}}})
+	apply(&wire.Command{Server: &wire.Announcement{Group: "g", Slot: "s1", Leaving: true}})
+	apply(&wire.Command{Server: &wire.Announcement{Group: "g", Slot: "s2"}})
+	apply(&wire.Command{Server: &wire.Announcement{Group: "g", Slot: "s2", Gone: true}})
+	again := state.New()
+	is.NoErr(again.Restore(m.Snapshot()))
+	is.Equal(again.Owners("g").GetFormer(), []string{"e2"})
+	is.Equal(len(again.Servers("g")), 1)
+	is.True(again.Servers("g")["s1"].GetLeaving())
+}
--- a/entry/caller/settings.go
+++ b/entry/caller/settings.go
@@ -30,7 +30,7 @@
 var requestKeyPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
 
 func badSetting(format string, args ...any) *outcome.Refusal {
-	return outcome.NotRun(outcome.BadSetting, fmt.Sprintf(format, args...), "See docs/OPERATING.md for the settings of the proxy.")
+	return outcome.NotRun(outcome.BadSetting, fmt.Sprintf(format, args...), "See docs/OPERATIONS.md for the settings of the proxy.")
 }
 
 // set changes one of the proxy's settings for this session.
