control: a disk that stalls or is full neither blocks the loop nor ends the daemon

Cause: writes ran inside the control loop, and an error of one ended the process. Change: one write at a time beside the loop; messages and answers wait for it, nothing else does; a refused write is tried again each 200 ms. control.Store lets tests bring both about.

--- /dev/null
+++ b/control/disk_test.go
@@ -0,0 +1,101 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/control"
+	"trefoilcourse/control/internal/disk"
+	"trefoilcourse/coord/raft"
+	"trefoilcourse/wire"
+)
+
+// faulty is a data folder that refuses writes, or does not end them.
+type faulty struct {
+	*disk.Store
+	full    atomic.Bool
+	stalled atomic.Pointer[chan bool]
+}
+
+func (f *faulty) Save(e *raft.Effects) error {
+	if wait := f.stalled.Load(); wait != nil {
+		<-*wait
+	}
+	if f.full.Load() {
+		return errors.New("no space left on device")
+	}
+	return f.Store.Save(e)
+}
+
+func startFaulty(t *testing.T) (*control.Server, *faulty) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	store, err := disk.Open(t.TempDir())
+	is.NoErr(err)
+	f := &faulty{Store: store}
+	address := listener.Addr().String()
+	s := &control.Server{
+		Settings: control.Settings{VM: "c1", Listen: address, DataFolder: "unused", Peers: map[string]string{"c1": address}},
+		Listener: listener, Log: quiet(), Store: f,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(<-ended) // a disk never ends the daemon
+	})
+	return s, f
+}
+
+func publish(s *control.Server, number uint64) bool {
+	answer, err := s.Publish(&wire.PublishRequest{Id: "p", Number: number, Document: []byte("{}")})
+	return err == nil && answer.GetResult().GetAccepted()
+}
+
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 500 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("it does not come about")
+}
+
+func TestFullDisk(t *testing.T) {
+	is := is.New(t)
+	s, f := startFaulty(t)
+	until(t, func() bool { return publish(s, 1) })
+	f.full.Store(true)
+	is.True(!publish(s, 2)) // nothing is acknowledged that is not on disk
+	f.full.Store(false)
+	until(t, func() bool { return publish(s, 3) })
+}
+
+// TestStalledDisk has the loop answer others while the disk does not.
+func TestStalledDisk(t *testing.T) {
+	is := is.New(t)
+	s, f := startFaulty(t)
+	until(t, func() bool { return publish(s, 1) })
+	wait := make(chan bool)
+	f.stalled.Store(&wait)
+	stuck := make(chan bool, 1)
+	go func() { stuck <- publish(s, 2) }()
+	time.Sleep(50 * time.Millisecond)
+	answer, err := s.Configuration()
+	is.NoErr(err) // the loop is free
+	is.True(!answer.GetLeading() || string(answer.GetDocument()) == "{}")
+	f.stalled.Store(nil)
+	close(wait)
+	<-stuck
+	until(t, func() bool { return publish(s, 3) })
+}
--- a/control/peers.go
+++ b/control/peers.go
@@ -210,6 +210,10 @@
 
 // start makes m the membership of an empty folder.
 func (s *Server) start(now time.Time, m *wire.Membership) {
+	if s.saving != nil {
+		// It is asked for again within joinInterval.
+		return
+	}
 	if err := s.store.Form(m); err != nil {
 		s.Log.WithError(err).Error("the first membership could not be saved")
 		return
--- a/control/server.go
+++ b/control/server.go
@@ -23,6 +23,10 @@
 
 const (
 	tickInterval = 20 * time.Millisecond
+	// saveAgain is the pause before a write that the disk refused is tried again.
+	saveAgain = 200 * time.Millisecond
+	// lastWrite is how long a stop waits for a write under way; the disk may be stalled.
+	lastWrite = time.Second
 	// electionTimeout is a part of the time that callers wait, and many round trips.
 	electionTimeout   = 300 * time.Millisecond
 	heartbeatInterval = 60 * time.Millisecond
@@ -35,6 +39,17 @@
 	compactAfterBytes = 2 << 20
 )
 
+// Store keeps what a control VM must not forget; what Save returned without an error for is synced.
+type Store interface {
+	// Incarnation names this life of the data.
+	Incarnation() string
+	Load() (raft.Stored, error)
+	Save(e *raft.Effects) error
+	// Form saves the first membership of a new system.
+	Form(m *wire.Membership) error
+	Close() error
+}
+
 // Server is one control VM; set the exported fields before Run.
 type Server struct {
 	// Settings are the VM's own.
@@ -47,6 +62,8 @@
 	BackendDialer protorpc.Dialer
 	// Backends gives orders to backend servers; nil means PostgreSQL through BackendDialer.
 	Backends Backends
+	// Store keeps the log; nil means the data folder of Settings.
+	Store Store
 	// Reload delivers changed settings; only the seeds are taken over while the server runs.
 	Reload <-chan Settings
 	// Owners is the number of entry VMs that own a group; 0 means leader.DefaultOwners.
@@ -61,7 +78,7 @@
 	traffic protorpc.Traffic
 	metrics *metrics
 
-	store       *disk.Store
+	store       Store
 	node        *raft.Node
 	machine     *state.Machine
 	leader      *leader.Leader
@@ -73,6 +90,10 @@
 	leadingTerm uint64
 	httpEnded   chan error
 	formed      bool
+	// saving are the effects that are being written; saved tells how that ended.
+	saving    *raft.Effects
+	saved     chan error
+	diskFails bool
 	// heardFrom are the addresses of control VMs that have sent a message, by member key.
 	heardFrom map[string]string
 	logBytes  int
@@ -81,6 +102,7 @@
 func (s *Server) prepare() {
 	s.once.Do(func() {
 		s.calls = make(chan func(now time.Time), 256)
+		s.saved = make(chan error, 1)
 		s.ended = make(chan struct{})
 		s.metrics = newMetrics(s.Settings.VM)
 		if s.Log == nil {
@@ -109,26 +131,30 @@
 	return &identity.Dialer{Identity: &identity.Identity{Files: *s.Settings.TLS}}
 }
 
-// Run serves until ctx ends or the data folder fails; the latter is returned as an error.
+// Run serves until ctx ends; an error means that the data folder cannot be read, or that what it
+// holds cannot be.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
 	if err := s.Settings.Check(); err != nil {
 		return trace.Wrap(err)
 	}
-	store, err := disk.Open(s.Settings.DataFolder)
-	if err != nil {
-		return trace.Wrap(err)
+	s.store = s.Store
+	if s.store == nil {
+		opened, err := disk.Open(s.Settings.DataFolder)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		s.store = opened
 	}
-	defer func() { _ = store.Close() }()
-	s.store = store
+	defer func() { _ = s.store.Close() }()
 	if err := s.restart(clock.Now()); err != nil {
 		return trace.Wrap(err)
 	}
 	s.Log.WithFields(logrus.Fields{
-		"formed": s.formed, "life": store.Incarnation(), "term": s.node.Term(), "bootstrap": s.Settings.Bootstrap,
+		"formed": s.formed, "life": s.store.Incarnation(), "term": s.node.Term(), "bootstrap": s.Settings.Bootstrap,
 		"seeds": s.Settings.Seeds, "members": len(s.node.Membership().GetMembers()),
 	}).Info("starts")
-	err = s.serve(ctx)
+	err := s.serve(ctx)
 	s.Log.WithError(err).Info("stops")
 	return err
 }
@@ -178,6 +204,12 @@
 	joining := make(chan error, 1)
 	go func() { joining <- s.join(ctx) }()
 	err := s.loop(ctx)
+	if s.saving != nil {
+		select {
+		case <-s.saved:
+		case <-time.After(lastWrite):
+		}
+	}
 	close(s.ended)
 	cancel()
 	_ = listener.Close()
@@ -198,10 +230,13 @@
 	defer ticker.Stop()
 	for {
 		if err := s.carryOut(ctx); err != nil {
-			s.Log.WithError(err).Error("data folder failed; this control VM stops")
 			return trace.Wrap(err)
 		}
 		select {
+		case err := <-s.saved:
+			if err := s.written(ctx, err); err != nil {
+				return trace.Wrap(err)
+			}
 		case <-ctx.Done():
 			return nil
 		case next := <-s.Reload:
@@ -264,31 +299,67 @@
 	return true
 }
 
-// carryOut persists, sends and applies what the node asks for.
+// carryOut persists, sends and applies what the node asks for. The disk is waited for outside of
+// the loop, so that one that stalls or is full keeps this VM from promising anything, and from
+// nothing else.
 func (s *Server) carryOut(ctx context.Context) error {
-	for {
+	for s.saving == nil {
 		effects := s.node.Take()
 		if effects.Empty() {
 			return nil
 		}
 		if effects.MustSync() {
-			if err := s.store.Save(&effects); err != nil {
-				return err
-			}
-			s.metrics.syncs.Add(1)
-		}
-		s.node.Synced(&effects)
-		if effects.Snapshot != nil {
-			s.snapshot = effects.Snapshot
-		}
-		s.formed = s.formed || roster.Formed(raft.Stored{Snapshot: effects.Snapshot, Entries: effects.Entries})
-		for _, m := range effects.Messages {
-			s.send(ctx, m)
+			s.saving = &effects
+			s.save(0)
+			return nil
 		}
-		if err := s.apply(&effects); err != nil {
+		if err := s.finish(ctx, &effects); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// save writes the effects under way after a pause, and reports the outcome on s.saved.
+func (s *Server) save(pause time.Duration) {
+	effects, store, saved := s.saving, s.store, s.saved
+	go func() {
+		time.Sleep(pause)
+		saved <- store.Save(effects)
+	}()
+}
+
+// written goes on after a write: one that failed is tried again, since nothing was promised yet.
+func (s *Server) written(ctx context.Context, err error) error {
+	if err != nil {
+		if !s.diskFails {
+			s.Log.WithError(err).Error("data folder refuses a write; this VM promises nothing until it takes it")
+		}
+		s.diskFails = true
+		s.save(saveAgain)
+		return nil
+	}
+	if s.diskFails {
+		s.Log.Info("data folder takes writes again")
+	}
+	s.diskFails = false
+	s.metrics.syncs.Add(1)
+	effects := s.saving
+	s.saving = nil
+	return s.finish(ctx, effects)
+}
+
+// finish does what may be done once the effects are on disk.
+func (s *Server) finish(ctx context.Context, effects *raft.Effects) error {
+	s.node.Synced(effects)
+	if effects.Snapshot != nil {
+		s.snapshot = effects.Snapshot
+	}
+	s.formed = s.formed || roster.Formed(raft.Stored{Snapshot: effects.Snapshot, Entries: effects.Entries})
+	for _, m := range effects.Messages {
+		s.send(ctx, m)
+	}
+	return s.apply(effects)
 }
 
 func (s *Server) apply(e *raft.Effects) error {
