--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -43,6 +43,10 @@
 	match      uint64
 	ackedRound uint64
 	heard      time.Time
+	// sent is the last index under way, since sentAt; snapshotAt is when a snapshot was sent.
+	sent       uint64
+	sentAt     time.Time
+	snapshotAt time.Time
 }
 
 // Node is one control VM's part in the replicated log; set the exported fields before Restart.
--- a/coord/raft/node_test.go
+++ b/coord/raft/node_test.go
@@ -90,3 +90,44 @@
 	is.Equal(m.node.Term(), term)
 	is.Equal(len(c.faults), 0)
 }
+
+// TestSlowMemberIsNotSentTheSameAgain has a member whose disk does not answer: with entries of
+// some size, sending them with each heartbeat filled the links between failure domains.
+func TestSlowMemberIsNotSentTheSameAgain(t *testing.T) {
+	is := is.New(t)
+	d := &disk{snapshot: &wire.LogSnapshot{Membership: threeVoters()}, hard: &wire.HardState{Term: 1}}
+	now := time.Unix(1000, 0)
+	n := &raft.Node{Self: "a/0"}
+	n.Restart(now, d.stored())
+	now = now.Add(5 * time.Second)
+	n.Tick(now)
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE_ANSWER, Term: 2, From: "b/0", To: "a/0"})
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_VOTE_ANSWER, Term: 2, From: "b/0", To: "a/0"})
+	e := n.Take()
+	n.Synced(&e)
+	n.Propose([]byte("large"))
+	sent := map[string]int{}
+	heartbeats := 0
+	for range 20 {
+		now = now.Add(25 * time.Millisecond)
+		n.Tick(now)
+		e := n.Take()
+		for _, m := range e.Messages {
+			heartbeats++
+			for _, entry := range m.GetEntries() {
+				if len(entry.GetData()) > 0 {
+					sent[m.GetTo()]++
+				}
+			}
+		}
+	}
+	is.Equal(sent["b/0"], 1)
+	is.True(heartbeats > 8) // and is still heard
+	now = now.Add(150 * time.Millisecond)
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND_ANSWER, Term: 2, From: "b/0", To: "a/0", Reject: true, LogIndex: 0, Round: 3})
+	again := 0
+	for _, m := range n.Take().Messages {
+		again += len(m.GetEntries())
+	}
+	is.True(again > 0) // what it says that it lacks is sent at once
+}
--- a/coord/raft/replicate.go
+++ b/coord/raft/replicate.go
@@ -51,20 +51,37 @@
 	}
 }
 
+// sendAppend sends a member what it lacks and is not under way already: a member that is slow to
+// sync would otherwise be sent the same entries with each heartbeat.
 func (n *Node) sendAppend(key string, p *progress) {
-	previous := p.next - 1
-	term, ok := n.log.term(previous)
+	from := p.next
+	if p.sent >= p.next && n.underWay(p.sentAt) {
+		from = p.sent + 1
+	}
+	term, ok := n.log.term(from - 1)
 	if !ok {
-		n.sendSnapshot(key)
+		if !n.underWay(p.snapshotAt) {
+			p.snapshotAt = n.at
+			n.sendSnapshot(key)
+		}
 		return
 	}
+	entries := n.log.slice(from, n.log.last(), maxAppendEntries)
+	if len(entries) > 0 {
+		p.sent, p.sentAt = entries[len(entries)-1].GetIndex(), n.at
+	}
 	n.send(&wire.AgreementMessage{
 		Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND, Term: n.term, To: key,
-		LogIndex: previous, LogTerm: term, Commit: n.commit, Round: n.round,
-		Entries: n.log.slice(p.next, n.log.last(), maxAppendEntries),
+		LogIndex: from - 1, LogTerm: term, Commit: n.commit, Round: n.round,
+		Entries: entries,
 	})
 }
 
+// underWay reports whether what was sent at a time may still be answered.
+func (n *Node) underWay(sent time.Time) bool {
+	return !sent.IsZero() && n.at.Sub(sent) < n.ElectionTimeout
+}
+
 // sendSnapshot asks the driver to attach the state: the node itself does not keep it.
 func (n *Node) sendSnapshot(key string) {
 	n.send(&wire.AgreementMessage{
@@ -192,7 +209,8 @@
 	p.heard = now
 	p.ackedRound = max(p.ackedRound, m.GetRound())
 	if m.GetReject() {
-		p.next = max(p.match+1, min(p.next-1, m.GetLogIndex()+1))
+		p.next = max(p.match+1, min(p.next, m.GetLogIndex()+1))
+		p.sent = 0
 		n.sendAppend(m.GetFrom(), p)
 		return
 	}
