--- a/entry/runner/pool.go
+++ b/entry/runner/pool.go
@@ -156,14 +156,8 @@
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
-	idle := p.idle
-	p.idle = nil
-	p.open -= len(idle)
-	p.wake()
 	p.mu.Unlock()
-	for _, l := range idle {
-		l.Close()
-	}
+	p.drop()
 }
 
 // drop closes the idle connections, which a failed one suggests are dead as well.
--- /dev/null
+++ b/trefoil/export_test.go
@@ -0,0 +1,4 @@
+package main
+
+// OnChange is for tests.
+var OnChange = onChange
--- a/trefoil/publish.go
+++ b/trefoil/publish.go
@@ -92,9 +92,9 @@
 		return statusError{errors.New("refused: " + reason), exitRefused}
 	}
 	began := time.Now()
-	err = client.AwaitInForce(ctx, result.GetVersion(), func(confirmed, all int) {
+	err = client.AwaitInForce(ctx, result.GetVersion(), onChange(func(confirmed, all int) {
 		fmt.Fprintf(os.Stderr, "version %d: %d of %d entry VMs confirm it\n", result.GetVersion(), confirmed, all)
-	})
+	}))
 	if err != nil {
 		return failed(err)
 	}
@@ -105,3 +105,15 @@
 	_, err = fmt.Fprintf(c.OutOrStdout(), "version %d is in force everywhere after %v\n", result.GetVersion(), took)
 	return err
 }
+
+// onChange calls show only with numbers that differ from the last ones.
+func onChange(show func(confirmed, all int)) func(confirmed, all int) {
+	lastConfirmed, lastAll := -1, -1
+	return func(confirmed, all int) {
+		if confirmed == lastConfirmed && all == lastAll {
+			return
+		}
+		lastConfirmed, lastAll = confirmed, all
+		show(confirmed, all)
+	}
+}
