--- a/control/membership.go
+++ b/control/membership.go
@@ -56,10 +56,12 @@
 	}).Info("membership of the control VMs changes")
 }
 
-func (s *Server) isVoter() bool {
+// belongs reports whether this VM takes part: it votes, or, where members come and go, it is a
+// member that hears a leader; one that was left out while it was silent hears none.
+func (s *Server) belongs() bool {
 	for _, m := range s.node.Membership().GetMembers() {
 		if raft.MemberKey(m) == s.key() {
-			return m.GetVoter()
+			return m.GetVoter() && len(s.Settings.Seeds) == 0 || s.node.LeaderKey() != ""
 		}
 	}
 	return false
--- a/control/peers.go
+++ b/control/peers.go
@@ -88,7 +88,7 @@
 	return ""
 }
 
-// join asks other control VMs until this one is a voting member that hears a leader. A VM with
+// join asks other control VMs as long as this one does not take part. A VM with
 // an empty folder forms a system only together with every other founder, all of them empty, so
 // that a wiped VM never forms another.
 func (s *Server) join(ctx context.Context) error {
@@ -103,7 +103,7 @@
 		var members []string
 		if !s.do(ctx, func(time.Time) {
 			members = s.Settings.known()
-			settled = s.isVoter() && (s.node.LeaderKey() != "" || len(s.Settings.Seeds) == 0)
+			settled = s.belongs()
 			for _, m := range s.node.Membership().GetMembers() {
 				members = append(members, m.GetAddress())
 			}
--- a/entry/runner/unit.go
+++ b/entry/runner/unit.go
@@ -73,7 +73,7 @@
 }
 
 // resume runs a further statement of a transaction.
-func (r *Runner) resume(ctx context.Context, w *work) *wire.StatementAnswer {
+func (r *Runner) resume(w *work) *wire.StatementAnswer {
 	r.mu.Lock()
 	u := r.units[w.request.GetUnit()]
 	r.mu.Unlock()
@@ -97,7 +97,6 @@
 		r.end(u, false)
 		return rolledBack("the lease on the primary ended during the transaction")
 	}
-	_ = ctx
 	return r.step(w, u)
 }
 
