--- a/control/membership.go
+++ b/control/membership.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/raft"
 	"trefoilcourse/coord/roster"
@@ -58,10 +60,10 @@
 
 // belongs reports whether this VM takes part: it votes, or, where members come and go, it is a
 // member that hears a leader; one that was left out while it was silent hears none.
-func (s *Server) belongs() bool {
+func (s *Server) belongs(now time.Time) bool {
 	for _, m := range s.node.Membership().GetMembers() {
 		if raft.MemberKey(m) == s.key() {
-			return m.GetVoter() && len(s.Settings.Seeds) == 0 || s.node.LeaderKey() != ""
+			return m.GetVoter() && len(s.Settings.Seeds) == 0 || len(s.Settings.Seeds) > 0 && s.node.Hears(now)
 		}
 	}
 	return false
--- a/control/peers.go
+++ b/control/peers.go
@@ -101,9 +101,9 @@
 	for {
 		settled := false
 		var members []string
-		if !s.do(ctx, func(time.Time) {
+		if !s.do(ctx, func(now time.Time) {
 			members = s.Settings.known()
-			settled = s.belongs()
+			settled = s.belongs(now)
 			for _, m := range s.node.Membership().GetMembers() {
 				members = append(members, m.GetAddress())
 			}
--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -129,6 +129,10 @@
 	n.send(answer)
 }
 
+// Hears reports whether this node leads or has lately heard who does, unlike LeaderKey, which
+// names the last one heard of.
+func (n *Node) Hears(now time.Time) bool { return n.hearsLeader(now) }
+
 // hearsLeader reports whether a leader may still count on this node not to vote.
 func (n *Node) hearsLeader(now time.Time) bool {
 	if n.role == Leader {
--- a/coord/raft/node_test.go
+++ b/coord/raft/node_test.go
@@ -131,3 +131,22 @@
 	}
 	is.True(again > 0) // what it says that it lacks is sent at once
 }
+
+// TestLearnerThatWasLeftOut hears nothing any more, although it still knows who led.
+func TestLearnerThatWasLeftOut(t *testing.T) {
+	is := is.New(t)
+	m := threeVoters()
+	m.Members = append(m.Members, &wire.ControlMember{Vm: "d", Incarnation: "0"})
+	d := &disk{snapshot: &wire.LogSnapshot{Membership: m}}
+	now := time.Unix(1000, 0)
+	n := &raft.Node{Self: "d/0"}
+	n.Restart(now, d.stored())
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND, Term: 1, From: "a/0", To: "d/0"})
+	is.True(n.Hears(now))
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		n.Tick(now)
+	}
+	is.Equal(n.LeaderKey(), "a/0")
+	is.True(!n.Hears(now))
+}
