wire/lines: logging never makes a daemon wait

Cause: logrus wrote to standard output within the caller; a reader that stops reading would have stopped sessions and the control loop. Change: lines go through a bounded queue to one goroutine; what is dropped is counted and said. TestOutputThatNobodyReads does not end without the queue.

--- /dev/null
+++ b/wire/lines/writer_test.go
@@ -0,0 +1,49 @@
+package lines_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/wire/lines"
+)
+
+// stuck is an output that takes its first line only when it is let go.
+type stuck struct {
+	bytes.Buffer
+	entered chan bool
+	release chan bool
+	once    bool
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	if !s.once {
+		s.once = true
+		s.entered <- true
+		<-s.release
+	}
+	return s.Buffer.Write(p)
+}
+
+// TestOutputThatNobodyReads: whoever logs goes on, and what was dropped is said.
+func TestOutputThatNobodyReads(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{entered: make(chan bool), release: make(chan bool)}
+	w := lines.New(out)
+	_, _ = w.Write([]byte("first\n"))
+	<-out.entered
+	for range 20_000 {
+		n, err := w.Write([]byte("line\n"))
+		is.Equal(n, 5)
+		is.NoErr(err)
+	}
+	dropped := w.Dropped()
+	is.True(dropped > 10_000)
+	close(out.release)
+	w.Close()
+	text := out.String()
+	is.Equal(strings.Count(text, "\nline")+int(dropped), 20_000)
+	is.True(strings.Contains(text, "log lines were dropped"))
+}
