coord/state, coord/leader, entry/control: large configurations travel apart from renewals

Change: answers to renewals carry at most 4 KB of changes; larger ones are asked for by themselves, from any control VM, packed once for all who ask (1,649 objects are 13 KB). A VM that knows of a newer configuration for 2 s and has not got it takes no work. Large commands are packed in the log.

--- a/control/server.go
+++ b/control/server.go
@@ -97,6 +97,7 @@
 	// heardFrom are the addresses of control VMs that have sent a message, by member key.
 	heardFrom map[string]string
 	logBytes  int
+	checked   checked
 }
 
 func (s *Server) prepare() {
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -100,3 +101,34 @@
 	stop()
 	callers.Wait()
 }
+
+// TestObjectsAreCheckedAgainWhenTheyChange: what was found right in an earlier publish says
+// nothing of another body under the same name, nor of what an object refers to.
+func TestObjectsAreCheckedAgainWhenTheyChange(t *testing.T) {
+	is := is.New(t)
+	address, ctx, stop := start(t)
+	defer stop()
+	client := &protorpc.Client{Address: address}
+	defer client.Close()
+	number := uint64(0)
+	publish := func(objects ...*wire.Object) bool {
+		number++
+		for ctx.Err() == nil {
+			response := &wire.PublishResponse{}
+			request := &wire.PublishRequest{Id: fmt.Sprint(number), Number: number, Objects: objects}
+			if client.Call(ctx, "Control.Publish", request, response) == nil && response.GetLeading() {
+				return response.GetResult().GetAccepted()
+			}
+		}
+		return false
+	}
+	group := &wire.Object{Kind: "database-group", Name: "g", Body: []byte(`{"announced":true,"connections":44,"acknowledge":"primary-only"}`)}
+	database := func(group string) *wire.Object {
+		return &wire.Object{Kind: "database", Name: "d", Body: []byte(`{"group":"` + group + `","consistency":"primary","statement-milliseconds":800}`)}
+	}
+	is.True(publish(group, database("g")))
+	is.True(!publish(group, database("none")))
+	is.True(!publish(database("g")))
+	is.True(!publish(group, &wire.Object{Kind: "database", Name: "d", Body: []byte(`{"group":`)}))
+	is.True(publish(group, database("g")))
+}
--- a/control/service.go
+++ b/control/service.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"trefoilcourse/coord/config"
 	"trefoilcourse/coord/raft"
+	"trefoilcourse/coord/state"
 	"trefoilcourse/wire"
 	"trefoilcourse/wire/protorpc"
 )
@@ -105,10 +105,27 @@
 	return nil
 }
 
+// Changes tells an entry VM what it lacks of the configuration. Any control VM answers: what it
+// has applied is in force, if perhaps not the newest.
+func (c *controlService) Changes(r *wire.ChangesRequest, answer *wire.ChangesResponse) error {
+	s := c.s
+	var changes *wire.ChangesResponse
+	var err error
+	if !s.do(context.Background(), func(time.Time) { changes, err = s.machine.Changes(r.GetVersion()) }) {
+		return errEnded
+	}
+	if err != nil {
+		return err
+	}
+	s.metrics.changes.Add(1)
+	answer.Version, answer.Whole, answer.Packed = changes.GetVersion(), changes.GetWhole(), changes.GetPacked()
+	return nil
+}
+
 // Publish checks a whole set of objects, proposes it and waits for the recorded outcome.
 func (c *controlService) Publish(r *wire.PublishRequest, answer *wire.PublishResponse) error {
 	s := c.s
-	if reason := faultsOf(r); reason != "" {
+	if reason := s.checked.faults(r); reason != "" {
 		answer.Leading = true
 		answer.Result = &wire.PublishResult{Id: r.GetId(), Reason: reason}
 		return nil
@@ -131,24 +148,6 @@
 	}
 }
 
-func faultsOf(r *wire.PublishRequest) string {
-	if r.GetId() == "" {
-		return "the publish has no id; give it one, so that it can be sent again"
-	}
-	var objects []config.Parsed
-	for _, o := range r.GetObjects() {
-		p, faults := config.FromWire(o.GetKind(), o.GetName(), o.GetBody())
-		if len(faults) > 0 {
-			return faults[0].String()
-		}
-		objects = append(objects, p)
-	}
-	if _, faults := config.Check(objects); len(faults) > 0 {
-		return faults[0].String()
-	}
-	return ""
-}
-
 func (s *Server) propose(now time.Time, r *wire.PublishRequest, answer *wire.PublishResponse, waiter chan *wire.PublishResult) {
 	if !s.leading(now) {
 		answer.LeaderAddress = s.leaderAddress()
@@ -159,7 +158,7 @@
 		answer.Result = earlier
 		return
 	}
-	data, err := proto.Marshal(&wire.Command{Publish: r})
+	data, err := state.Encode(&wire.Command{Publish: r})
 	if err != nil {
 		answer.Result = &wire.PublishResult{Id: r.GetId(), Reason: err.Error()}
 		return
--- a/coord/config/check.go
+++ b/coord/config/check.go
@@ -24,17 +24,19 @@
 	return []string{KindDatabase, KindDatabaseGroup, KindObjective, KindReadPolicy, KindService, KindStalenessAllowance}
 }
 
-func fieldsOf(kind string) []string {
-	types := map[string]reflect.Type{
-		KindDatabaseGroup:      reflect.TypeFor[DatabaseGroup](),
-		KindService:            reflect.TypeFor[Service](),
-		KindReadPolicy:         reflect.TypeFor[ReadPolicy](),
-		KindStalenessAllowance: reflect.TypeFor[StalenessAllowance](),
-		KindObjective:          reflect.TypeFor[Objective](),
-		KindDatabase:           reflect.TypeFor[Database](),
-	}
+// fieldNames are the fields of each kind as they are written.
+var fieldNames = map[string][]string{
+	KindDatabaseGroup:      fieldsIn(reflect.TypeFor[DatabaseGroup]()),
+	KindService:            fieldsIn(reflect.TypeFor[Service]()),
+	KindReadPolicy:         fieldsIn(reflect.TypeFor[ReadPolicy]()),
+	KindStalenessAllowance: fieldsIn(reflect.TypeFor[StalenessAllowance]()),
+	KindObjective:          fieldsIn(reflect.TypeFor[Objective]()),
+	KindDatabase:           fieldsIn(reflect.TypeFor[Database]()),
+}
+
+func fieldsIn(kind reflect.Type) []string {
 	var names []string
-	for _, field := range reflect.VisibleFields(types[kind]) {
+	for _, field := range reflect.VisibleFields(kind) {
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
 		names = append(names, name)
 	}
--- a/coord/config/parse.go
+++ b/coord/config/parse.go
@@ -148,8 +148,8 @@
 	for _, f := range fields.Members {
 		name := memberName(f)
 		switch {
-		case !slices.Contains(fieldsOf(key.Kind), name):
-			faults = append(faults, s.fault(f.Name.StartOffset, key.String(), fmt.Sprintf("field %q does not exist", name), "use "+strings.Join(fieldsOf(key.Kind), ", ")))
+		case !slices.Contains(fieldNames[key.Kind], name):
+			faults = append(faults, s.fault(f.Name.StartOffset, key.String(), fmt.Sprintf("field %q does not exist", name), "use "+strings.Join(fieldNames[key.Kind], ", ")))
 		case seen[name]:
 			faults = append(faults, s.fault(f.Name.StartOffset, key.String(), fmt.Sprintf("field %q is given twice", name), "keep one"))
 		}
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -24,6 +24,9 @@
 	serverLife = 5 * time.Second
 	// controlConnections is how many connections to each server the control leader may open.
 	controlConnections = 1
+	// maxChangesBytes is the most that an answer to a renewal carries of the configuration: it has
+	// to cross a slow link well within a part of a lease, beside what callers send.
+	maxChangesBytes = 4 << 10
 	// joinDelay keeps a VM that comes and goes from being given groups each time.
 	joinDelay = time.Second
 )
@@ -121,8 +124,8 @@
 	if l.version == l.State.Version() {
 		return
 	}
+	l.take(l.State.Since(l.version))
 	l.version = l.State.Version()
-	l.set = decode(l.State.Objects())
 	for name, g := range l.set.Groups {
 		if l.groups[name] == nil {
 			l.groups[name] = &group{machine: &promote.Group{Name: name}, servers: map[string]*server{}}
@@ -149,13 +152,20 @@
 	l.stale = true
 }
 
-func decode(objects []*wire.Object) *config.Set {
-	set := config.Empty()
-	for _, o := range objects {
+// take brings the decoded set up to date with the changes since the last look.
+func (l *Leader) take(changes []*wire.Object, whole bool) {
+	if whole {
+		l.set = config.Empty()
+	}
+	for _, o := range changes {
+		key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
+		if o.GetDeleted() {
+			l.set.Delete(key)
+			continue
+		}
 		// Objects were checked before they were proposed; one that does not decode is left out.
-		_ = set.Put(config.Key{Kind: o.GetKind(), Name: o.GetName()}, o.GetBody())
+		_ = l.set.Put(key, o.GetBody())
 	}
-	return set
 }
 
 func primaryOf(m *state.Machine, name string) promote.Primary {
@@ -192,7 +202,11 @@
 		LeaseMilliseconds:    uint32(l.table.Duration.Milliseconds()),
 		ConfigurationVersion: l.version,
 	}
-	response.Objects, response.ConfigurationWhole = l.State.Since(r.GetConfigurationVersion())
+	if l.State.SizeSince(r.GetConfigurationVersion()) > maxChangesBytes {
+		response.ChangesApart = true
+	} else {
+		response.Objects, response.ConfigurationWhole = l.State.Since(r.GetConfigurationVersion())
+	}
 	if len(r.GetHoldings()) == 0 {
 		// Nothing is to be adopted, so that its report may end the adoption at once.
 		l.table.Heard(r.GetVm())
--- a/coord/state/machine.go
+++ b/coord/state/machine.go
@@ -31,6 +31,8 @@
 	document    []byte
 	owners      map[string]*wire.Owners
 	servers     map[string]map[string]*wire.Announcement
+	// lacking keeps what was worked out for holders of earlier versions, until the next publish.
+	lacking map[uint64]*lack
 }
 
 // New returns the state before the first command.
@@ -67,8 +69,8 @@
 
 // Apply applies one encoded command and returns the outcome if it was a publish.
 func (m *Machine) Apply(data []byte) (*wire.PublishResult, error) {
-	command := &wire.Command{}
-	if err := proto.Unmarshal(data, command); err != nil {
+	command, err := decode(data)
+	if err != nil {
 		return nil, fmt.Errorf("command does not decode: %w", err)
 	}
 	if p := command.GetPrimary(); p != nil {
@@ -164,6 +166,7 @@
 
 func (m *Machine) accept(p *wire.PublishRequest, result *wire.PublishResult) {
 	m.version++
+	m.lacking = nil
 	m.document = p.GetDocument()
 	changed := m.replace(p.GetObjects())
 	result.Accepted = true
@@ -230,27 +233,6 @@
 	return live
 }
 
-// Since returns what a holder of version lacks: the changes, or with whole set all live
-// objects when the changes are not known or not fewer.
-func (m *Machine) Since(version uint64) (objects []*wire.Object, whole bool) {
-	if version == m.version {
-		return nil, false
-	}
-	if version > m.version || version < m.oldestDelta || version == 0 {
-		return m.Objects(), true
-	}
-	for _, o := range m.objects {
-		if o.GetVersion() > version {
-			objects = append(objects, o)
-		}
-	}
-	if live := m.Objects(); len(objects) > len(live) {
-		return live, true
-	}
-	sortObjects(objects)
-	return objects, false
-}
-
 // Snapshot returns the state encoded, equal for equal states.
 func (m *Machine) Snapshot() []byte {
 	s := &wire.ControlState{Version: m.version, Results: m.results, History: m.history, OldestDelta: m.oldestDelta, Number: m.number, Document: m.document}
--- a/coord/state/state_test.go
+++ b/coord/state/state_test.go
@@ -156,3 +156,28 @@
 	is.Equal(len(again.Servers("g")), 1)
 	is.True(again.Servers("g")["s1"].GetLeaving())
 }
+
+// TestLargeCommandsArePacked: a whole configuration crosses to each control VM and its disk in a
+// small part of its size, and means the same.
+func TestLargeCommandsArePacked(t *testing.T) {
+	is := is.New(t)
+	p := &wire.PublishRequest{Id: "large", Number: 7, Document: make([]byte, 400<<10)}
+	for i := range 1500 {
+		p.Objects = append(p.Objects, &wire.Object{Kind: "database", Name: fmt.Sprint(i), Body: []byte(`{"group":"ledger","consistency":"primary"}`)})
+	}
+	data, err := state.Encode(&wire.Command{Publish: p})
+	is.NoErr(err)
+	is.True(len(data) < proto.Size(p)/8)
+	m := state.New()
+	result, err := m.Apply(data)
+	is.NoErr(err)
+	is.True(result.GetAccepted())
+	is.Equal(len(m.Objects()), 1500)
+	is.Equal(len(m.Document()), 400<<10)
+
+	small, err := state.Encode(&wire.Command{Primary: &wire.Primary{Group: "g", Term: 1}})
+	is.NoErr(err)
+	plain, err := proto.Marshal(&wire.Command{Primary: &wire.Primary{Group: "g", Term: 1}})
+	is.NoErr(err)
+	is.Equal(small, plain)
+}
--- /dev/null
+++ b/entry/control/changes_test.go
@@ -0,0 +1,99 @@
+package control_test
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/entry/control"
+	"trefoilcourse/entry/internal/view"
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/packed"
+	"trefoilcourse/wire/protorpc"
+)
+
+// controlVM is a fake of a control VM.
+type controlVM struct {
+	// addresses are those of all control VMs; version is what this one has.
+	addresses []string
+	version   uint64
+	inForce   uint64
+	objects   *wire.Objects
+	asked     atomic.Int64
+}
+
+// Renew answers as a leader whose changes are large.
+func (c *controlVM) Renew(r *wire.RenewRequest, answer *wire.RenewResponse) error {
+	answer.Accepted, answer.ControlTerm, answer.LeaseMilliseconds = true, 1, 2000
+	answer.ConfigurationVersion, answer.ControlAddresses = c.inForce, c.addresses
+	answer.ChangesApart = r.GetConfigurationVersion() < c.inForce
+	return nil
+}
+
+// Changes answers with what this control VM has.
+func (c *controlVM) Changes(_ *wire.ChangesRequest, answer *wire.ChangesResponse) error {
+	c.asked.Add(1)
+	data, err := packed.Marshal(c.objects)
+	answer.Version, answer.Whole, answer.Packed = c.version, true, data
+	return err
+}
+
+func serve(t *testing.T, c *controlVM) string {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	server := rpc.NewServer()
+	is.NoErr(server.RegisterName("Control", c))
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go server.ServeCodec(protorpc.NewServerCodec(conn, nil))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+type nothing struct{}
+
+func (nothing) Report(time.Time, *wire.RenewRequest) bool { return false }
+
+// TestLargeChangesAreAskedForApart: the VM takes large changes from whichever control VM has
+// them, passing over one that has not applied them yet and one that is down.
+func TestLargeChangesAreAskedForApart(t *testing.T) {
+	is := is.New(t)
+	objects := &wire.Objects{Objects: []*wire.Object{{Kind: "database", Name: "d", Body: []byte(`{"group":"g"}`)}}}
+	leader := &controlVM{version: 5, inForce: 5, objects: objects}
+	late := &controlVM{objects: &wire.Objects{}}
+	address := serve(t, leader)
+	leader.addresses = []string{"127.0.0.1:1", serve(t, late), address}
+
+	v := view.New()
+	client := &control.Client{VM: "e1", Addresses: []string{address}, View: v, Reporter: nothing{}}
+	client.Prepare()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- client.Run(ctx) }()
+	for v.Version() != 5 && ctx.Err() == nil {
+		client.Poke()
+		select {
+		case <-v.Changed():
+		case <-ctx.Done():
+		}
+	}
+	is.Equal(v.Version(), uint64(5))
+	_, _, _, ok := v.Database("d")
+	is.True(ok)
+	is.Equal(leader.asked.Load(), int64(1))
+	cancel()
+	is.NoErr(<-ended)
+}
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -24,6 +24,8 @@
 	// renewalsPerLease lets two renewals fail before a lease ends.
 	renewalsPerLease = 4
 	maxAnnouncements = 4096
+	// changesTimeout lets a configuration of thousands of objects cross a slow link that is in use.
+	changesTimeout = 1500 * time.Millisecond
 )
 
 var errNoLeader = errors.New("no control VM leads")
@@ -67,6 +69,9 @@
 	lost          bool
 	// interval is the time between two renewals, a part of the lease that was last granted.
 	interval time.Duration
+	// catching is set while changes are asked for by themselves; caught tells that it has ended.
+	catching bool
+	caught   chan error
 }
 
 // Prepare makes the client ready for Poke and Announce before Run.
@@ -74,6 +79,7 @@
 	c.poke = make(chan struct{}, 1)
 	c.announcements = map[string]*wire.Announcement{}
 	c.clients = map[string]*protorpc.Client{}
+	c.caught = make(chan error, 1)
 }
 
 // Poke asks for a renewal soon.
@@ -128,6 +134,7 @@
 	defer c.close()
 	for {
 		urgent := c.renew(ctx)
+		c.noteCaught()
 		wait := c.interval
 		if wait == 0 {
 			wait = RenewInterval
@@ -142,6 +149,9 @@
 }
 
 func (c *Client) close() {
+	if c.catching {
+		<-c.caught
+	}
 	for _, client := range c.clients {
 		client.Close()
 	}
@@ -177,10 +187,18 @@
 	if err != nil {
 		return true
 	}
+	before := c.View.Version()
 	if !c.View.Answered(asked, response) {
 		return true
 	}
+	if version := c.View.Version(); version != before {
+		c.logInForce(before, len(response.GetObjects()), 0, asked)
+	}
 	c.forget(sent)
+	if response.GetChangesApart() && !c.catching {
+		c.catching = true
+		go func() { c.caught <- c.catchUp(ctx) }()
+	}
 	granted := time.Duration(response.GetLeaseMilliseconds()) * time.Millisecond
 	c.interval = min(RenewInterval, max(2*urgentInterval, granted/renewalsPerLease))
 	if response.GetDrain() {
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -10,10 +10,16 @@
 	"trefoilcourse/coord/config"
 	"trefoilcourse/coord/lease"
 	"trefoilcourse/wire"
+	"trefoilcourse/wire/packed"
 )
 
-// ConfirmWithin is how long an entry VM takes work by what the control leader last confirmed.
-const ConfirmWithin = 6 * time.Second
+const (
+	// ConfirmWithin is how long an entry VM takes work by what the control leader last confirmed.
+	ConfirmWithin = 6 * time.Second
+	// BehindWithin is how long it takes work by an older configuration than it knows to be in
+	// force: operators expect a change everywhere within three seconds of its acknowledgement.
+	BehindWithin = 2 * time.Second
+)
 
 // View is safe for concurrent use.
 type View struct {
@@ -30,6 +36,8 @@
 	groups   map[string]*wire.GroupState
 	control  []string
 	changed  chan struct{}
+	// behind is since when a newer configuration is known to be in force, or zero.
+	behind time.Time
 }
 
 // New returns a view that knows nothing.
@@ -81,7 +89,10 @@
 	if !v.holder.Answered(asked, r.GetControlTerm(), duration, grants) {
 		return false
 	}
-	v.takeObjects(r)
+	if !r.GetChangesApart() {
+		v.takeObjects(r.GetConfigurationVersion(), r.GetConfigurationWhole(), r.GetObjects())
+	}
+	v.noteBehind(asked, r.GetConfigurationVersion())
 	v.takeDirectory(r)
 	if c := r.GetControlAddresses(); len(c) > 0 {
 		v.control = c
@@ -90,14 +101,30 @@
 	return true
 }
 
-func (v *View) takeObjects(r *wire.RenewResponse) {
-	if r.GetConfigurationVersion() == v.version {
+// Take takes over changes that were asked for by themselves, and returns how many objects they
+// are; those that lead to no newer configuration change nothing.
+func (v *View) Take(r *wire.ChangesResponse) (int, error) {
+	changes := &wire.Objects{}
+	if err := packed.Unmarshal(r.GetPacked(), changes); err != nil {
+		return 0, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.takeObjects(r.GetVersion(), r.GetWhole(), changes.GetObjects())
+	v.notify()
+	return len(changes.GetObjects()), nil
+}
+
+// takeObjects takes over a newer configuration; one that has been overtaken changes nothing, so
+// that nothing is undone within the life of a process.
+func (v *View) takeObjects(version uint64, whole bool, objects []*wire.Object) {
+	if version <= v.version {
 		return
 	}
-	if r.GetConfigurationWhole() {
+	if whole {
 		v.set = config.Empty()
 	}
-	for _, o := range r.GetObjects() {
+	for _, o := range objects {
 		key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
 		if o.GetDeleted() {
 			v.set.Delete(key)
@@ -106,7 +133,18 @@
 		// Objects were checked before they were accepted.
 		_ = v.set.Put(key, o.GetBody())
 	}
-	v.version = r.GetConfigurationVersion()
+	v.version = version
+	v.behind = time.Time{}
+}
+
+// noteBehind takes note of the version in force when a question was asked.
+func (v *View) noteBehind(asked time.Time, inForce uint64) {
+	switch {
+	case inForce <= v.version:
+		v.behind = time.Time{}
+	case v.behind.IsZero():
+		v.behind = asked
+	}
 }
 
 func (v *View) takeDirectory(r *wire.RenewResponse) {
@@ -139,9 +177,19 @@
 func (v *View) Confirmed() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.version > 0 && v.epoch > 0 && v.now().Sub(v.holder.Confirmed()) < ConfirmWithin
+	return v.version > 0 && v.epoch > 0 && v.now().Sub(v.holder.Confirmed()) < ConfirmWithin && !v.outdated()
+}
+
+// Outdated reports whether a newer configuration has been in force for too long to go on by the
+// one that is known here.
+func (v *View) Outdated() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.outdated()
 }
 
+func (v *View) outdated() bool { return !v.behind.IsZero() && v.now().Sub(v.behind) >= BehindWithin }
+
 // Age returns how long ago the question was asked whose answer was the last.
 func (v *View) Age() time.Duration {
 	v.mu.Lock()
--- /dev/null
+++ b/entry/internal/view/view_test.go
@@ -0,0 +1,94 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/entry/internal/view"
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/packed"
+)
+
+var start = time.Unix(1000, 0)
+
+func database(name string, milliseconds int) *wire.Object {
+	return &wire.Object{Kind: "database", Name: name, Body: fmt.Appendf(nil, `{"group":"g","consistency":"primary","statement-milliseconds":%d}`, milliseconds)}
+}
+
+func answer(version uint64, objects ...*wire.Object) *wire.RenewResponse {
+	return &wire.RenewResponse{
+		Accepted: true, ControlTerm: 1, LeaseMilliseconds: 2000, ConfigurationVersion: version,
+		DirectoryEpoch: 1, DirectoryRevision: 1, Objects: objects,
+	}
+}
+
+func changes(t *testing.T, version uint64, objects ...*wire.Object) *wire.ChangesResponse {
+	data, err := packed.Marshal(&wire.Objects{Objects: objects})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wire.ChangesResponse{Version: version, Packed: data}
+}
+
+func limit(v *view.View, name string) int {
+	d, _, _, _ := v.Database(name)
+	return d.StatementMilliseconds
+}
+
+// TestNoWorkByAnOutdatedConfiguration: a VM that knows of a newer configuration and does not get
+// it takes no work by the one it has, from well before operators may count on the change.
+func TestNoWorkByAnOutdatedConfiguration(t *testing.T) {
+	is := is.New(t)
+	now := start
+	v := view.New()
+	v.Clock = func() time.Time { return now }
+	v.Answered(now, answer(1, database("d", 100)))
+	is.True(v.Confirmed())
+
+	apart := answer(2)
+	apart.ChangesApart = true
+	v.Answered(now, apart)
+	is.Equal(v.Version(), uint64(1))
+	now = now.Add(view.BehindWithin - time.Millisecond)
+	v.Answered(now, apart)
+	is.True(v.Confirmed()) // it may still come in time
+	now = now.Add(time.Millisecond)
+	is.True(!v.Confirmed())
+	is.True(v.Outdated())
+
+	count, err := v.Take(changes(t, 2, database("d", 200)))
+	is.NoErr(err)
+	is.Equal(count, 1)
+	is.True(v.Confirmed())
+	is.Equal(limit(v, "d"), 200)
+}
+
+// TestConfigurationNeverGoesBack: an answer that was under way while newer changes came by
+// themselves undoes nothing.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	v := view.New()
+	v.Clock = func() time.Time { return start }
+	v.Answered(start, answer(1, database("d", 100)))
+	_, err := v.Take(changes(t, 3, database("d", 300)))
+	is.NoErr(err)
+	v.Answered(start, answer(2, database("d", 200)))
+	is.Equal(limit(v, "d"), 300)
+	is.Equal(v.Version(), uint64(3))
+	_, err = v.Take(changes(t, 2, database("d", 200)))
+	is.NoErr(err)
+	is.Equal(limit(v, "d"), 300)
+	is.True(!v.Outdated())
+}
+
+func TestBrokenChangesChangeNothing(t *testing.T) {
+	is := is.New(t)
+	v := view.New()
+	v.Answered(start, answer(1, database("d", 100)))
+	_, err := v.Take(&wire.ChangesResponse{Version: 9, Packed: []byte("broken")})
+	is.True(err != nil)
+	is.Equal(v.Version(), uint64(1))
+}
--- /dev/null
+++ b/wire/packed/packed.go
@@ -0,0 +1,51 @@
+package packed
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// maxBytes is the most that a message may unpack to; it bounds what a broken sender can cost.
+const maxBytes = 64 << 20
+
+// Marshal encodes and packs a message; equal messages may give different bytes.
+func Marshal(m proto.Message) ([]byte, error) {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return pack(data)
+}
+
+func pack(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	// The fastest level: names that differ are most of what is left, whatever the level.
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Unmarshal unpacks and decodes what Marshal made.
+func Unmarshal(data []byte, m proto.Message) error {
+	r := flate.NewReader(bytes.NewReader(data))
+	plain, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
+	if err != nil {
+		return fmt.Errorf("packed message: %w", err)
+	}
+	if len(plain) > maxBytes {
+		return fmt.Errorf("packed message is over %d bytes", maxBytes)
+	}
+	return proto.Unmarshal(plain, m)
+}
