control, coord/roster: two losses at once are borne, and VMs without a disk relay

Change: two control VMs a failure domain, seven votes of eight, and never fewer than twice the tolerated losses and one. Where a failure domain has one disk only, its second control VM keeps nothing and sends operators, servers and entry VMs on to the leader; it is never a member.

Ruled out: a lost or torn log (the four folders were read back by the VMs).

--- a/control/membership.go
+++ b/control/membership.go
@@ -30,7 +30,7 @@
 // tendMembership gives votes to learners that have caught up, and takes them from the silent.
 func (s *Server) tendMembership() {
 	now := clock.Now()
-	next, change := roster.Next(s.node.Membership(), func(key string) roster.Standing {
+	next, change := roster.Next(s.node.Membership(), s.Settings.ToleratedLosses, func(key string) roster.Standing {
 		match := s.node.Match(key)
 		standing := roster.Standing{Started: match > 0, Silence: s.node.Silence(now, key)}
 		if commit := s.node.Commit(); match < commit {
--- a/control/peers.go
+++ b/control/peers.go
@@ -16,6 +16,9 @@
 	peerQueue    = 256
 	peerTimeout  = 300 * time.Millisecond
 	joinInterval = 250 * time.Millisecond
+	// relayInterval is how late a VM that keeps nothing may learn of a new leader: those whom it
+	// sends on ask another VM after a second.
+	relayInterval = 500 * time.Millisecond
 )
 
 // peer sends messages to one other control VM, one at a time.
@@ -98,6 +101,10 @@
 			client.Close()
 		}
 	}()
+	interval := joinInterval
+	if s.relays {
+		interval = relayInterval
+	}
 	for {
 		settled := false
 		var members []string
@@ -116,11 +123,32 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(joinInterval):
+		case <-time.After(interval):
 		}
 	}
 }
 
+// keepsNothing reports whether a control VM has no data folder, and so no life of its own.
+func keepsNothing(m *wire.ControlMember) bool { return m.GetIncarnation() == "" }
+
+// betterLeader returns the leader's address after one more answer: the word of a VM that leads
+// goes before that of VMs that follow one.
+func betterLeader(known string, answer *wire.JoinResponse) string {
+	said := answer.GetLeaderAddress()
+	if said != "" && (known == "" || said == answer.GetSelf().GetAddress()) {
+		return said
+	}
+	return known
+}
+
+// relayTo has a VM that keeps nothing send others to a leader; none may be known.
+func (s *Server) relayTo(leader string) {
+	if leader != s.relayedTo {
+		s.Log.WithFields(map[string]any{"leader": leader, "before": s.relayedTo}).Info("sends others on to another leader")
+		s.relayedTo = leader
+	}
+}
+
 func (s *Server) self() *wire.ControlMember {
 	return &wire.ControlMember{
 		Vm: s.Settings.VM, Incarnation: s.store.Incarnation(), Address: s.Settings.advertised(),
@@ -131,15 +159,23 @@
 func (s *Server) askPeers(ctx context.Context, clients map[string]*protorpc.Client, addresses []string) {
 	self := s.self()
 	empty := []*wire.ControlMember{proto.CloneOf(self)}
+	if s.relays {
+		empty = nil
+	}
 	asked := map[string]bool{s.Settings.advertised(): true}
+	founders := s.Settings.founders()
+	leader := ""
 	for len(addresses) > 0 {
 		var next []string
 		for _, answer := range s.askAll(ctx, clients, self, addresses, asked) {
+			leader = betterLeader(leader, answer)
 			members := answer.GetMembership().GetMembers()
 			for _, m := range members {
 				next = append(next, m.GetAddress())
 			}
-			if len(members) > 0 {
+			if keepsNothing(answer.GetSelf()) {
+				founders--
+			} else if len(members) > 0 {
 				s.do(ctx, func(now time.Time) { s.adopt(now, answer.GetMembership()) })
 				empty = nil
 			} else if empty != nil && (answer.GetBootstrapping() || len(s.Settings.Seeds) == 0) {
@@ -148,9 +184,12 @@
 		}
 		addresses = next
 	}
+	if s.relays {
+		s.do(ctx, func(time.Time) { s.relayTo(leader) })
+	}
 	if len(empty) > 0 {
 		s.do(ctx, func(now time.Time) {
-			if len(empty) == s.Settings.founders() {
+			if len(empty) == founders {
 				s.form(now, empty)
 			}
 		})
--- a/control/server.go
+++ b/control/server.go
@@ -98,6 +98,9 @@
 	heardFrom map[string]string
 	logBytes  int
 	checked   checked
+	// relays says that this VM keeps nothing; relayedTo is then the leader that others name.
+	relays    bool
+	relayedTo string
 }
 
 func (s *Server) prepare() {
@@ -140,7 +143,11 @@
 		return trace.Wrap(err)
 	}
 	s.store = s.Store
-	if s.store == nil {
+	s.relays = s.store == nil && s.Settings.DataFolder == ""
+	switch {
+	case s.relays:
+		s.store = nowhere{}
+	case s.store == nil:
 		opened, err := disk.Open(s.Settings.DataFolder)
 		if err != nil {
 			return trace.Wrap(err)
@@ -152,7 +159,7 @@
 		return trace.Wrap(err)
 	}
 	s.Log.WithFields(logrus.Fields{
-		"formed": s.formed, "life": s.store.Incarnation(), "term": s.node.Term(), "bootstrap": s.Settings.Bootstrap,
+		"formed": s.formed, "relays": s.relays, "life": s.store.Incarnation(), "term": s.node.Term(), "bootstrap": s.Settings.Bootstrap,
 		"seeds": s.Settings.Seeds, "members": len(s.node.Membership().GetMembers()),
 	}).Info("starts")
 	err := s.serve(ctx)
@@ -399,6 +406,9 @@
 
 // leaderAddress returns where the leader listens as far as this VM knows, or "".
 func (s *Server) leaderAddress() string {
+	if s.relays {
+		return s.relayedTo
+	}
 	for _, m := range s.node.Membership().GetMembers() {
 		if raft.MemberKey(m) == s.node.LeaderKey() {
 			return m.GetAddress()
--- a/control/service.go
+++ b/control/service.go
@@ -65,14 +65,18 @@
 // Join answers a control VM that is not a voting member.
 func (a *agreementService) Join(newcomer *wire.ControlMember, answer *wire.JoinResponse) error {
 	s := a.s
-	ok := s.do(context.Background(), func(time.Time) {
+	ok := s.do(context.Background(), func(now time.Time) {
 		answer.Self = s.self()
+		answer.LeaderAddress = s.leaderAddress()
+		if s.leading(now) {
+			answer.LeaderAddress = s.Settings.advertised()
+		}
 		answer.Bootstrapping = s.Settings.Bootstrap
 		if !s.formed {
 			return
 		}
 		answer.Membership = proto.CloneOf(s.node.Membership())
-		if s.node.Role() == raft.Leader {
+		if s.node.Role() == raft.Leader && !keepsNothing(newcomer) {
 			s.welcome(newcomer)
 		}
 	})
--- a/control/settings.go
+++ b/control/settings.go
@@ -15,14 +15,17 @@
 	FailureDomain string `json:"failure-domain"`
 	Listen        string `json:"listen"`
 	// HTTP serves /healthz and /debug/vars; empty serves neither.
-	HTTP       string            `json:"http,omitempty"`
-	DataFolder string            `json:"data-folder"`
+	HTTP string `json:"http,omitempty"`
+	// DataFolder keeps the log; a VM without one keeps nothing, and sends everybody on to the leader.
+	DataFolder string            `json:"data-folder,omitempty"`
 	Peers      map[string]string `json:"peers,omitempty"`
 	// Seeds are hosts or addresses of some control VMs, instead of Peers: the others are learned
 	// from them. All control VMs listen on the port of Listen.
 	Seeds []string `json:"seeds,omitempty"`
 	// Bootstrap says that the whole system starts for the first time: the seeds form it.
 	Bootstrap bool `json:"bootstrap,omitempty"`
+	// ToleratedLosses is how many control VMs may be lost at once; 0 is 1.
+	ToleratedLosses int `json:"tolerated-losses,omitempty"`
 	// LeaseMilliseconds is how long entry VMs may act on what they were last told; 0 is 2 s.
 	LeaseMilliseconds int `json:"lease-milliseconds,omitempty"`
 	// TLS is used among the system's processes; nil leaves them in plain text.
@@ -33,6 +36,8 @@
 	// minLeaseMS lets a VM miss a renewal, maxLeaseMS is as long as anybody would wait.
 	minLeaseMS = 800
 	maxLeaseMS = 10_000
+	// maxToleratedLosses is what seven voters bear, as many as are set aside for control.
+	maxToleratedLosses = 3
 )
 
 // LoadSettings reads and checks a settings file.
@@ -51,8 +56,10 @@
 		return fmt.Errorf("vm is empty; give this control VM a name")
 	case s.LeaseMilliseconds != 0 && (s.LeaseMilliseconds < minLeaseMS || s.LeaseMilliseconds > maxLeaseMS):
 		return fmt.Errorf("lease-milliseconds is %d; use a number from %d to %d", s.LeaseMilliseconds, minLeaseMS, maxLeaseMS)
-	case s.DataFolder == "":
-		return fmt.Errorf("data-folder is empty; name the folder that keeps the log")
+	case s.DataFolder == "" && len(s.Seeds) == 0:
+		return fmt.Errorf("data-folder is empty; name the folder that keeps the log, or list seeds to send everybody on")
+	case s.ToleratedLosses < 0 || s.ToleratedLosses > maxToleratedLosses:
+		return fmt.Errorf("tolerated-losses is %d; use a number from 0 to %d", s.ToleratedLosses, maxToleratedLosses)
 	case len(s.Seeds) > 0 && len(s.Peers) > 0:
 		return fmt.Errorf("both peers and seeds are listed; list one kind")
 	case len(s.Seeds) > 0:
@@ -110,7 +117,7 @@
 	if len(s.Seeds) == 0 {
 		return len(s.Peers)
 	}
-	if !s.Bootstrap || !slices.Contains(s.seedAddresses(), s.Listen) {
+	if !s.Bootstrap || s.DataFolder == "" || !slices.Contains(s.seedAddresses(), s.Listen) {
 		return 0
 	}
 	return len(s.Seeds)
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -17,8 +17,8 @@
 	// silenceLimit is more than a restart takes, and less than a VM that comes in place of
 	// another is given to catch up.
 	silenceLimit = 3 * time.Second
-	// minVoters are enough to bear the loss of one.
-	minVoters = 3
+	// leastTolerated is how many losses are borne where nothing else is said.
+	leastTolerated = 1
 )
 
 // Standing is what the leader knows of a member.
@@ -67,8 +67,10 @@
 
 // Next returns the membership that the leader should propose, or nil. The number of voters is
 // kept odd, so that one half of a system that is cut in two has a majority; a learner that could
-// make it even waits to take the place of a silent voter.
-func Next(current *wire.Membership, standing func(key string) Standing) (*wire.Membership, Change) {
+// make it even waits to take the place of a silent voter. Silent voters keep their votes as long
+// as there are no more voters than are needed for the loss of tolerated of them.
+func Next(current *wire.Membership, tolerated int, standing func(key string) Standing) (*wire.Membership, Change) {
+	minVoters := 2*max(tolerated, leastTolerated) + 1
 	voters, silentVoter, silentLearner := 0, -1, -1
 	var ready []int
 	for i, m := range current.GetMembers() {
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -57,11 +57,11 @@
 func TestLearnerVotesWhenItHasTheLog(t *testing.T) {
 	is := is.New(t)
 	m, _ := roster.Join(voters("a", "b"), member("d", "1", false))
-	next, _ := roster.Next(m, func(string) roster.Standing { return roster.Standing{Started: true, Lag: 100} })
+	next, _ := roster.Next(m, 1, func(string) roster.Standing { return roster.Standing{Started: true, Lag: 100} })
 	is.True(next == nil)
-	next, _ = roster.Next(m, func(string) roster.Standing { return roster.Standing{} })
+	next, _ = roster.Next(m, 1, func(string) roster.Standing { return roster.Standing{} })
 	is.True(next == nil) // nothing of the log is known to be there
-	next, change := roster.Next(m, silent())
+	next, change := roster.Next(m, 1, silent())
 	is.Equal(keys(next), []string{"a/1+", "b/1+", "d/1+"})
 	is.Equal(change.Outcome, "votes")
 }
@@ -71,11 +71,11 @@
 func TestVotersStayOdd(t *testing.T) {
 	is := is.New(t)
 	m, _ := roster.Join(voters("a", "b", "c"), member("d", "1", false))
-	next, _ := roster.Next(m, silent())
+	next, _ := roster.Next(m, 1, silent())
 	is.True(next == nil)
 	m, _ = roster.Join(m, member("e", "1", false))
-	m, _ = roster.Next(m, silent())
-	m, _ = roster.Next(m, silent())
+	m, _ = roster.Next(m, 1, silent())
+	m, _ = roster.Next(m, 1, silent())
 	is.Equal(keys(m), []string{"a/1+", "b/1+", "c/1+", "d/1+", "e/1+"})
 }
 
@@ -83,11 +83,11 @@
 // silent one leaves, so that two of three remain when a second one is lost.
 func TestReplacedThenAnotherLost(t *testing.T) {
 	is := is.New(t)
-	next, _ := roster.Next(voters("a", "b", "c"), silent("c/1"))
+	next, _ := roster.Next(voters("a", "b", "c"), 1, silent("c/1"))
 	is.True(next == nil) // three are the least
 	m, _ := roster.Join(voters("a", "b", "c"), member("d", "1", false))
-	m, _ = roster.Next(m, silent("c/1"))
-	m, change := roster.Next(m, silent("c/1"))
+	m, _ = roster.Next(m, 1, silent("c/1"))
+	m, change := roster.Next(m, 1, silent("c/1"))
 	is.Equal(keys(m), []string{"a/1+", "b/1+", "d/1+"})
 	is.Equal(change, roster.Change{Member: "c/1", Outcome: "left"})
 	m, _ = roster.Join(m, member("c", "1", true))
@@ -102,3 +102,24 @@
 	is.True(roster.Formed(raft.Stored{Entries: []*wire.LogEntry{{Index: 1}}}))
 	is.True(roster.Formed(raft.Stored{Snapshot: &wire.LogSnapshot{}}))
 }
+
+// TestTwoLossesAtOnce has eight control VMs bear the loss of any two, and then of two more: no
+// more than the silent leave, and five votes stay whatever happens.
+func TestTwoLossesAtOnce(t *testing.T) {
+	is := is.New(t)
+	m := voters("a", "b", "c")
+	for _, vm := range []string{"d", "e", "f", "g", "h"} {
+		m, _ = roster.Join(m, member(vm, "1", false))
+	}
+	settle := func(standing func(string) roster.Standing) {
+		for next := m; next != nil; next, _ = roster.Next(m, 2, standing) {
+			m = next
+		}
+	}
+	settle(silent())
+	is.Equal(keys(m), []string{"a/1+", "b/1+", "c/1+", "d/1+", "e/1+", "f/1+", "g/1+", "h/1"})
+	settle(silent("a/1", "b/1"))
+	is.Equal(keys(m), []string{"c/1+", "d/1+", "e/1+", "f/1+", "g/1+", "h/1"})
+	settle(silent("c/1", "d/1"))
+	is.Equal(keys(m), []string{"c/1+", "e/1+", "f/1+", "g/1+", "h/1+"})
+}
