coord/promote: owners that are silent do not keep a lost primary in place

Change: owners of an announced group that the leader has not heard lately do not count towards that majority. As before the leader asks the primary itself, and waits for every lease before another is chosen.

--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -356,20 +356,27 @@
 }
 
 // suspected reports whether a majority of the owners, from two failure domains if they span
-// as many, lately found the primary unusable.
+// as many, lately found the primary unusable. Owners of an announced group that are silent do not
+// count: they may have been lost with the primary, and whatever is suspected, the leader asks the
+// primary itself and waits for every lease before another is chosen.
 func (g *Group) suspected(now time.Time) bool {
-	against := 0
+	against, counted := 0, 0
 	domains := map[string]bool{}
 	span := map[string]bool{}
 	for vm, domain := range g.owners {
-		span[domain] = true
 		o, ok := g.observations[vm]
-		if ok && now.Sub(o.at) <= observationLife && o.Health != Good {
+		heard := ok && now.Sub(o.at) <= observationLife
+		if g.Announced && !heard {
+			continue
+		}
+		counted++
+		span[domain] = true
+		if heard && o.Health != Good {
 			against++
 			domains[domain] = true
 		}
 	}
-	return against > len(g.owners)/2 && len(domains) >= min(2, len(span))
+	return against > counted/2 && len(domains) >= min(2, len(span))
 }
 
 // Blind returns the owners that lately found a primary unusable which has answered the control
--- a/coord/promote/promote_test.go
+++ b/coord/promote/promote_test.go
@@ -158,3 +158,32 @@
 	g.Tick(at(20), true)
 	is.Equal(g.State(), promote.Choosing)
 }
+
+// TestOwnersLostWithThePrimary has two of three owners killed in the same instant as the primary.
+// The third is enough to have it checked; a primary that answers the leader stays all the same.
+func TestOwnersLostWithThePrimary(t *testing.T) {
+	is := is.New(t)
+	announced := func() *promote.Group {
+		g := group()
+		g.Announced = true
+		for _, vm := range []string{"e1", "e2", "e3"} {
+			g.Observe(at(0), promote.Observation{VM: vm, Term: 3, Health: promote.Good})
+		}
+		suspect(g, 1000, "e1")
+		g.Tick(at(1010), false)
+		is.Equal(g.State(), promote.Steady) // the others were heard a second ago
+		suspect(g, 1600, "e1")
+		g.Tick(at(1610), false)
+		is.Equal(g.State(), promote.Checking)
+		return g
+	}
+	g := announced()
+	g.Answer(promote.Status{Slot: "a", Asked: at(1620)})
+	g.Tick(at(1630), false)
+	is.Equal(g.State(), promote.Fencing)
+
+	g = announced()
+	g.Answer(status("a", "1", 1620, 100))
+	g.Tick(at(1630), false)
+	is.Equal(g.State(), promote.Steady)
+}
