coord/dispatch, entry/sessions: no waiting for a turn that never comes, nor at a VM that is cut off

Cause: (1) where both replicas of a group lag by 20 s its primary is asked for twice what it can do, for as long. Newer work goes first, since it can still be in time, so late work had no turn and was held until its limit of 800 ms, with nothing left of its caller's second for another try. (2) Half of the VMs cut off from the rest held each statement for 250 to 500 ms at owners that they could not reach, until their callers were sent away.

Change: late work that newer work has left without a turn for 300 ms is refused, and new work that would become late is refused at once meanwhile; after a standstill late work is kept, since it has its turn soon. An owner that is out of reach is asked for a sign of life only.

Both rules undone: TestSustainedOverload, TestCutOffVMRefusesAtOnce and TestQuietOwnerIsAskedNothingNew are red.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -21,6 +21,9 @@
 	failureLimit = 2
 	// failurePause is how long a failing server is left alone: shorter than its restart.
 	failurePause = 500 * time.Millisecond
+	// starvation is how long late work may be passed over by newer work before it is given up: a
+	// few turns of the slowest statements, and short beside what callers have left for a retry.
+	starvation = 300 * time.Millisecond
 	// maxWaiting bounds what waits for one group at one owner.
 	maxWaiting = 4096
 )
@@ -87,6 +90,18 @@
 	service  time.Duration
 	failures int
 	retryAt  time.Time
+	// passedSince is since when late work has been passed over here by newer work, without a turn.
+	passedSince time.Time
+}
+
+// starves reports whether late work has no turn here as long as as much comes in as does now.
+func (s *server) starves(now time.Time) bool {
+	return !s.passedSince.IsZero() && now.Sub(s.passedSince) >= starvation
+}
+
+// isLate reports whether the answer to a job would come after its objective from this server.
+func (s *server) isLate(now time.Time, j Job) bool {
+	return !j.Objective.IsZero() && now.Add(s.service).After(j.Objective)
 }
 
 func (s *server) limit() int {
@@ -166,7 +181,8 @@
 	if len(q.waiting) >= maxWaiting {
 		return nil, []Refusal{{Job: j.ID, Reason: Full}}
 	}
-	if wait := q.predict(j); now.Add(wait).After(j.Deadline) {
+	wait := q.predict(j)
+	if now.Add(wait).After(j.Deadline) || q.starving(now, j, wait) {
 		return nil, []Refusal{{Job: j.ID, Reason: TooLate, Wait: wait}}
 	}
 	at, _ := slices.BinarySearchFunc(q.waiting, j, func(a, b Job) int {
@@ -220,6 +236,8 @@
 			refused = append(refused, Refusal{Job: j.ID, Reason: TooLate})
 		case !q.servable(now, j):
 			refused = append(refused, Refusal{Job: j.ID, Reason: NoServer})
+		case q.starving(now, j, 0):
+			refused = append(refused, Refusal{Job: j.ID, Reason: TooLate, Wait: starvation})
 		default:
 			kept = append(kept, j)
 		}
@@ -229,9 +247,11 @@
 	for {
 		i, s := q.next(now)
 		if s == nil {
+			q.noteIdle()
 			return started, refused
 		}
 		s.running++
+		q.noteTurn(now, s, q.waiting[i])
 		started = append(started, Start{q.waiting[i].ID, s.Slot})
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
@@ -250,7 +270,7 @@
 		s := q.choose(now, j)
 		switch {
 		case s == nil:
-		case j.Objective.IsZero() || !now.Add(s.service).After(j.Objective):
+		case !s.isLate(now, j):
 			return i, s
 		case late < 0:
 			late, lateServer = i, s
@@ -259,6 +279,46 @@
 	return late, lateServer
 }
 
+// noteTurn takes note of whether late work is passed over by the job that a server starts.
+func (q *Queue) noteTurn(now time.Time, s *server, j Job) {
+	if s.isLate(now, j) {
+		s.passedSince = time.Time{}
+		return
+	}
+	waits := slices.ContainsFunc(q.waiting, func(w Job) bool { return s.isLate(now, w) && s.usable(now, w) })
+	if waits && s.passedSince.IsZero() {
+		s.passedSince = now
+	}
+}
+
+// noteIdle takes note of the servers for which nothing waits any more.
+func (q *Queue) noteIdle() {
+	for _, s := range q.servers {
+		if s.running < s.limit() {
+			s.passedSince = time.Time{}
+		}
+	}
+}
+
+// starving reports whether a job that has its turn after wait would be late, and newer work leaves
+// late work no turn at any server: its caller is better told at once, with time left to try again.
+// After a standstill late work has its turn as soon as what has come in since is served, and is
+// kept.
+func (q *Queue) starving(now time.Time, j Job, wait time.Duration) bool {
+	found := false
+	for _, s := range q.servers {
+		if !s.usable(now, j) {
+			continue
+		}
+		late := s.isLate(now, j) || !j.Objective.IsZero() && now.Add(wait).After(j.Objective)
+		if !late || !s.starves(now) || s.running < s.limit() {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // usable reports whether a server may run a job at all.
 func (s *server) usable(now time.Time, j Job) bool {
 	if j.Slot != "" {
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -124,3 +124,50 @@
 	}
 	is.Equal(q.Service("r"), before)
 }
+
+// TestSustainedOverload has half as much again come in as a server can do, for ten seconds. Work
+// that has become late never has its turn, since newer work goes first: held until its time has
+// passed, it would be refused with nothing left for another try.
+func TestSustainedOverload(t *testing.T) {
+	is := is.New(t)
+	q := &dispatch.Queue{FailureDomain: "d1"}
+	q.SetServers([]dispatch.Server{{Slot: "p", Limit: 1, Primary: true}})
+	// The overload shows once work has become late and has been passed over for a while.
+	const work, aim, limit, shows = 12, 250, 800, 2000
+	inTime, held, refusals := 0, 0, 0
+	note := func(ms int, refused []dispatch.Refusal) {
+		for _, r := range refused {
+			refusals++
+			if ms > shows && ms-int(r.Job) > 2*aim {
+				held++
+			}
+		}
+	}
+	take := func(ms int, started []dispatch.Start) {
+		for _, s := range started {
+			if ms+work <= int(s.Job)+aim {
+				inTime++
+			}
+		}
+	}
+	busyUntil := 0
+	for ms := range 10_000 {
+		if ms == busyUntil && ms > 0 {
+			started, refused := q.Done(at(ms), "p", work*time.Millisecond, true)
+			take(ms, started)
+			note(ms, refused)
+			busyUntil = ms + work*len(started)
+		}
+		if ms%8 == 0 {
+			started, refused := q.Submit(at(ms), dispatch.Job{ID: uint64(ms), Primary: true, Deadline: at(ms + limit), Objective: at(ms + aim)})
+			take(ms, started)
+			note(ms, refused)
+			if len(started) > 0 {
+				busyUntil = ms + work*len(started)
+			}
+		}
+	}
+	is.True(inTime > 10_000/work*95/100) // the server does nothing but what is in time
+	is.True(refusals > 10_000/8/4)
+	is.Equal(held, 0)
+}
--- a/entry/sessions/link.go
+++ b/entry/sessions/link.go
@@ -15,17 +15,16 @@
 	// quietLimit is how long a link may answer nothing at all, while something is asked, before
 	// reads are tried elsewhere; it is several times what a loaded link takes.
 	quietLimit = 250 * time.Millisecond
-	// downLife is how long a VM that could not be connected to is asked last.
-	downLife = time.Second
 )
 
 // link is the way to one other entry VM.
 type link struct {
 	client protorpc.Client
 
-	mu      sync.Mutex
-	heard   time.Time
-	down    time.Time
+	mu    sync.Mutex
+	heard time.Time
+	// down is set from when the VM could not be reached, or was quiet, until it answers anything.
+	down    bool
 	pinging bool
 }
 
@@ -58,7 +57,8 @@
 	}
 }
 
-// ping asks the other VM for a sign of life, since its statements may all take long.
+// ping asks the other VM for a sign of life: its statements may all take long, and while it is
+// down it is asked nothing else.
 func (l *link) ping() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -84,9 +84,9 @@
 	switch {
 	case err == nil:
 		l.heard = now
-		l.down = time.Time{}
+		l.down = false
 	case errors.Is(err, protorpc.ErrNotConnected):
-		l.down = now
+		l.down = true
 	}
 }
 
@@ -96,17 +96,22 @@
 	defer l.mu.Unlock()
 	now := clock.Now()
 	quiet := now.Sub(asked) >= quietLimit && now.Sub(l.heard) >= quietLimit
-	if quiet {
-		l.down = now
-	}
+	l.down = l.down || quiet
 	return quiet
 }
 
-// isDown reports whether the VM should be asked last.
+// isDown reports whether the VM is out of reach, as far as is known.
 func (l *link) isDown() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.down.IsZero() && clock.Now().Sub(l.down) < downLife
+	return l.down
+}
+
+// heardSince reports whether the VM has answered anything since a time.
+func (l *link) heardSince(at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard.After(at)
 }
 
 // take copies an answer.
--- a/entry/sessions/owners.go
+++ b/entry/sessions/owners.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"trefoilcourse/coord/clock"
@@ -21,6 +23,9 @@
 	// OutOfTouch is how long a VM that hears no control leader keeps callers: longer than a new
 	// leader needs, and short for callers whom another VM could serve.
 	OutOfTouch = 1800 * time.Millisecond
+	// lostTouch is how long neither the control leader nor any owner is heard before a VM refuses
+	// at once: a renewal and the next one have failed by then.
+	lostTouch = 900 * time.Millisecond
 	// comeBack is when a caller may try again that no owner could serve: owners and primaries
 	// change within seconds.
 	comeBack = 300 * time.Millisecond
@@ -45,7 +50,7 @@
 			last = a
 		}
 		held := clock.Now().Sub(began)
-		if held >= limit/holdDivisor || s.View.Age() > OutOfTouch || !pause(ctx, changed) {
+		if held >= limit/holdDivisor || s.View.Age() > OutOfTouch || s.cutOff() || !pause(ctx, changed) {
 			return &wire.StatementAnswer{
 				Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: last.GetReason(),
 				RetryMilliseconds: uint32(comeBack.Milliseconds()),
@@ -54,6 +59,26 @@
 	}
 }
 
+// cutOff reports whether this VM is cut off from all others, so that another one serves its
+// callers sooner: it has lost the control leader and every owner that it has asked.
+func (s *Sessions) cutOff() bool {
+	if s.View.Age() <= lostTouch {
+		return false
+	}
+	s.mu.Lock()
+	links := slices.Collect(maps.Values(s.links))
+	s.mu.Unlock()
+	since := clock.Now().Add(-lostTouch)
+	down := false
+	for _, l := range links {
+		if l.heardSince(since) {
+			return false
+		}
+		down = down || l.isDown()
+	}
+	return down
+}
+
 // noDatabase marks the answer for a name that no database has.
 const noDatabase = "no-database"
 
@@ -109,12 +134,17 @@
 	if m == nil {
 		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_ELSEWHERE, Reason: "the owner is not up"}
 	}
+	link := s.link(m.GetLinkAddress())
+	if begins := r.GetUnit() == "" || r.GetBegins(); begins && link.isDown() {
+		link.ping()
+		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_ELSEWHERE, Reason: "the owner is out of reach"}
+	}
 	s.Metrics.LinkStreams.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, left+linkMargin)
 	defer cancel()
 	a := &wire.StatementAnswer{}
 	hasty := r.GetKind() == wire.StatementKind_STATEMENT_KIND_READ && (r.GetUnit() == "" || r.GetBegins())
-	err := s.link(m.GetLinkAddress()).run(ctx, r, a, hasty)
+	err := link.run(ctx, r, a, hasty)
 	if errors.Is(err, protorpc.ErrNotConnected) {
 		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_ELSEWHERE, Reason: err.Error()}
 	}
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
@@ -60,10 +62,51 @@
 
 // open begins a session on e1 with a database that local owns, and remote as well if it is not nil.
 func open(t *testing.T, local, remote *owner) *sessions.Session {
+	s, _ := openAt(t, local, remote, clock.Now)
+	return s
+}
+
+// notHere is an owner that may run nothing.
+func notHere() *owner {
+	return &owner{answer: func(*wire.StatementRequest) *wire.StatementAnswer {
+		return answer(wire.Disposition_DISPOSITION_ELSEWHERE, "")
+	}}
+}
+
+// network opens connections that can be made to lose all that is sent.
+type network struct {
+	net.Dialer
+	quiet atomic.Bool
+}
+
+func (n *network) DialContext(ctx context.Context, kind, address string) (net.Conn, error) {
+	conn, err := n.Dialer.DialContext(ctx, kind, address)
+	if err != nil {
+		return nil, err
+	}
+	return &lossy{conn, n}, nil
+}
+
+type lossy struct {
+	net.Conn
+	network *network
+}
+
+func (l *lossy) Write(p []byte) (int, error) {
+	if l.network.quiet.Load() {
+		return len(p), nil
+	}
+	return l.Conn.Write(p)
+}
+
+// openAt does the same with a clock that may show that the control leader was heard long ago.
+func openAt(t *testing.T, local, remote *owner, now func() time.Time) (*sessions.Session, *network) {
 	is := is.New(t)
+	dialer := &network{}
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	v := view.New()
+	v.Clock = now
 	state := &wire.GroupState{Group: "g", Owners: []string{"e1"}}
 	members := []*wire.Member{{Vm: "e1", FailureDomain: "d1"}}
 	if remote != nil {
@@ -87,13 +130,13 @@
 		},
 		DirectoryEpoch: 1, DirectoryRevision: 1, Groups: []*wire.GroupState{state}, Members: members,
 	})
-	s := &sessions.Sessions{VM: "e1", FailureDomain: "d1", Life: "1", View: v, Local: local, Dialer: &net.Dialer{}, Metrics: &metrics.Metrics{}, Log: log}
+	s := &sessions.Sessions{VM: "e1", FailureDomain: "d1", Life: "1", View: v, Local: local, Dialer: dialer, Metrics: &metrics.Metrics{}, Log: log}
 	t.Cleanup(s.Close)
 	one, ok := s.Open("d")
 	is.True(ok)
 	_, ok = s.Open("other")
 	is.True(!ok)
-	return one
+	return one, dialer
 }
 
 func do(s *sessions.Session, k statement.Kind, text string) statement.Answer {
@@ -216,3 +259,36 @@
 	is.True(a.RetryMilliseconds > 0)
 	is.True(o.asked[len(o.asked)-1].GetAgeMilliseconds() < 300) // the statement's limit was not used up
 }
+
+// TestQuietOwnerIsAskedNothingNew: once an owner has been quiet for too long, a write does not
+// hang at it until nobody knows whether it ran; when it answers again, it is asked again.
+func TestQuietOwnerIsAskedNothingNew(t *testing.T) {
+	is := is.New(t)
+	remote := &owner{answer: done("I")}
+	s, net := openAt(t, notHere(), remote, clock.Now)
+	is.Equal(do(s, statement.Write, "w").Outcome, statement.Done)
+	net.quiet.Store(true)
+	is.Equal(do(s, statement.Read, "r").Outcome, statement.NotRun) // it gives up on the quiet owner
+	is.Equal(do(s, statement.Write, "w2").Outcome, statement.NotRun)
+	is.Equal(remote.texts(), []string{"w"})
+	net.quiet.Store(false)
+	is.Equal(do(s, statement.Write, "w3").Outcome, statement.Done)
+	is.Equal(remote.texts(), []string{"w", "w3"})
+}
+
+// TestCutOffVMRefusesAtOnce: a VM that hears neither the control leader nor an owner keeps nobody
+// waiting, since its callers are served by others.
+func TestCutOffVMRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	var late atomic.Int64
+	local := notHere()
+	s, net := openAt(t, local, &owner{answer: done("I")}, func() time.Time { return clock.Now().Add(time.Duration(late.Load())) })
+	net.quiet.Store(true)
+	is.Equal(do(s, statement.Read, "r").Outcome, statement.NotRun)
+	is.Equal(do(s, statement.Write, "w").Outcome, statement.NotRun)
+	asked := len(local.texts())
+	is.True(asked > 2) // it waits for another owner as long as a leader may name one
+	late.Store(int64(time.Second))
+	is.Equal(do(s, statement.Write, "w").Outcome, statement.NotRun)
+	is.Equal(len(local.texts()), asked+1)
+}
