coord/dispatch: of equally urgent work that which is expected sooner goes first

In the order of arrival check-ins (18 ms, expected in 250) were refused and catalogue reads (30 ms, 500) were not, since the queue settles at the wait that only the latter bear.

Change: among jobs of one priority the one whose callers expect an answer sooner goes first; those that can be in time still go before the late.

--- a/coord/dispatch/doc.go
+++ b/coord/dispatch/doc.go
@@ -1,7 +1,7 @@
 // Package dispatch orders the work of one group at an owner.
 //
 // Each server works on few statements at once, so work waits where it can be put in order: by
-// priority, then by arrival. Work that only the primary may run waits for the primary; a read
+// priority, by how soon an answer is expected, and by arrival. Work that only the primary may run waits for the primary; a read
 // that any fresh replica may run takes the server that is predicted to answer first. Work that
 // cannot be answered in its time is refused at once.
 //
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -47,6 +48,9 @@
 	Deadline time.Time
 	// Objective is when its answer is late for the caller; zero says nothing.
 	Objective time.Time
+	// Aim is how soon callers of its kind expect an answer; of equally urgent work that which is
+	// expected sooner goes first. Zero goes last.
+	Aim time.Duration
 	// Slot is the only server that may run it, or empty.
 	Slot string
 	// Primary says that only the primary may run it.
@@ -195,8 +199,21 @@
 	return q.start(now)
 }
 
-// order puts transactions under way first, then the lower priority.
+// order puts the more urgent first, then what is expected sooner: a server that cannot do all
+// serves more callers by short work, of which answers are expected soon, than by long.
 func order(a, b Job) int {
+	return cmp.Or(urgency(a, b), cmp.Compare(a.aim(), b.aim()))
+}
+
+func (j Job) aim() time.Duration {
+	if j.Aim == 0 {
+		return math.MaxInt64
+	}
+	return j.Aim
+}
+
+// urgency puts transactions under way first, then the lower priority.
+func urgency(a, b Job) int {
 	if a.Pinned != b.Pinned {
 		if a.Pinned {
 			return -1
@@ -264,7 +281,7 @@
 	late := -1
 	var lateServer *server
 	for i, j := range q.waiting {
-		if late >= 0 && order(q.waiting[late], j) < 0 {
+		if late >= 0 && urgency(q.waiting[late], j) < 0 {
 			break
 		}
 		s := q.choose(now, j)
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -171,3 +171,48 @@
 	is.True(refusals > 10_000/8/4)
 	is.Equal(held, 0)
 }
+
+// TestOverloadOfShortAndLongWork has more come in than a server can do, of two kinds: short
+// statements whose callers expect an answer soon, and long ones. In the order of arrival both
+// kinds would be refused in part, the short ones more often.
+func TestOverloadOfShortAndLongWork(t *testing.T) {
+	is := is.New(t)
+	kinds := []struct{ every, work, aim int }{{14, 10, 250}, {60, 30, 500}}
+	const length = 20_000
+	run := func(aims bool) (inTime [2]int) {
+		q := &dispatch.Queue{FailureDomain: "d1"}
+		q.SetServers([]dispatch.Server{{Slot: "p", Limit: 1, Primary: true}})
+		busyUntil, running := 0, 0
+		start := func(ms int, started []dispatch.Start) {
+			for _, s := range started {
+				kind, came := int(s.Job)%2, int(s.Job)/2
+				busyUntil, running = ms+kinds[kind].work, kind
+				if busyUntil <= came+kinds[kind].aim {
+					inTime[kind]++
+				}
+			}
+		}
+		for ms := range length {
+			if ms == busyUntil && ms > 0 {
+				started, _ := q.Done(at(ms), "p", time.Duration(kinds[running].work)*time.Millisecond, true)
+				start(ms, started)
+			}
+			for kind, k := range kinds {
+				if ms%k.every != 0 {
+					continue
+				}
+				j := dispatch.Job{ID: uint64(2*ms + kind), Primary: true, Deadline: at(ms + 800), Objective: at(ms + k.aim)}
+				if aims {
+					j.Aim = time.Duration(k.aim) * time.Millisecond
+				}
+				started, _ := q.Submit(at(ms), j)
+				start(ms, started)
+			}
+		}
+		return inTime
+	}
+	byArrival, byAim := run(false), run(true)
+	t.Log(byArrival, byAim, length/kinds[0].every, length/kinds[1].every)
+	is.True(byAim[0] > length/kinds[0].every*95/100)
+	is.True(byAim[0]+byAim[1] > byArrival[0]+byArrival[1])
+}
