control: members tell seeds that keep nothing where they are

The settings had exchanged the seeds for the three VMs without a disk, which relay. When all VMs had lost power, these knew of no member and were all that entry VMs, relays and the VM whose disk was lost could ask: three members led each other, unknown to all.

Change: a member calls those of its seeds that are no members; a VM that keeps nothing remembers who called, asks on from there, and passes the membership on to those who ask it.

TestOnlyRelaysAsSeeds fails without the calls.

--- a/control/peers.go
+++ b/control/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -107,18 +109,19 @@
 	}
 	for {
 		settled := false
-		var members []string
+		var members, strangers []string
 		if !s.do(ctx, func(now time.Time) {
-			members = s.Settings.known()
 			settled = s.belongs(now)
-			for _, m := range s.node.Membership().GetMembers() {
-				members = append(members, m.GetAddress())
-			}
+			members = s.acquaintances()
+			strangers = s.strangers()
 		}) {
 			return nil
 		}
-		if !settled {
+		switch {
+		case !settled:
 			s.askPeers(ctx, clients, members)
+		case len(strangers) > 0:
+			s.askAll(ctx, clients, s.self(), strangers, map[string]bool{})
 		}
 		select {
 		case <-ctx.Done():
@@ -131,6 +134,36 @@
 // keepsNothing reports whether a control VM has no data folder, and so no life of its own.
 func keepsNothing(m *wire.ControlMember) bool { return m.GetIncarnation() == "" }
 
+// acquaintances returns where other control VMs may be asked for: those that the settings name,
+// the members, and the members that a VM which keeps nothing has met.
+func (s *Server) acquaintances() []string {
+	addresses := s.Settings.known()
+	for _, m := range slices.Concat(s.node.Membership().GetMembers(), s.learned.GetMembers()) {
+		addresses = append(addresses, m.GetAddress())
+	}
+	return slices.AppendSeq(addresses, maps.Values(s.met))
+}
+
+// strangers returns the seeds that are no members. They may keep nothing, and when all VMs have
+// stopped, nobody else tells them who the members are.
+func (s *Server) strangers() []string {
+	var strangers []string
+	for _, seed := range s.Settings.seedAddresses() {
+		member := slices.ContainsFunc(s.node.Membership().GetMembers(), func(m *wire.ControlMember) bool { return m.GetAddress() == seed })
+		if !member && seed != s.Settings.advertised() {
+			strangers = append(strangers, seed)
+		}
+	}
+	return strangers
+}
+
+// meet has a VM that keeps nothing remember where a member calls from.
+func (s *Server) meet(caller *wire.ControlMember) {
+	if !keepsNothing(caller) {
+		s.met[caller.GetVm()] = caller.GetAddress()
+	}
+}
+
 // betterLeader returns the leader's address after one more answer: the word of a VM that leads
 // goes before that of VMs that follow one.
 func betterLeader(known string, answer *wire.JoinResponse) string {
@@ -165,11 +198,15 @@
 	asked := map[string]bool{s.Settings.advertised(): true}
 	founders := s.Settings.founders()
 	leader := ""
+	var learned *wire.Membership
 	for len(addresses) > 0 {
 		var next []string
 		for _, answer := range s.askAll(ctx, clients, self, addresses, asked) {
 			leader = betterLeader(leader, answer)
 			members := answer.GetMembership().GetMembers()
+			if len(members) > 0 && !keepsNothing(answer.GetSelf()) {
+				learned = answer.GetMembership()
+			}
 			for _, m := range members {
 				next = append(next, m.GetAddress())
 			}
@@ -185,7 +222,12 @@
 		addresses = next
 	}
 	if s.relays {
-		s.do(ctx, func(time.Time) { s.relayTo(leader) })
+		s.do(ctx, func(time.Time) {
+			s.relayTo(leader)
+			if learned != nil {
+				s.learned = learned
+			}
+		})
 	}
 	if len(empty) > 0 {
 		s.do(ctx, func(now time.Time) {
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,58 +14,91 @@
 	"trefoilcourse/wire/protorpc"
 )
 
-// TestVMWithoutDataSendsOthersOn: a control VM without a data folder never takes part, answers
-// with the leader's address, and learns of a later one.
-func TestVMWithoutDataSendsOthersOn(t *testing.T) {
+// vm runs a control VM on a loopback address of its own until the end of the test, or until stop.
+func vm(t *testing.T, ip, folder string, founds bool, seeds ...string) (stop func()) {
 	is := is.New(t)
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	listen := func(ip string) net.Listener {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, port))
-		is.NoErr(err)
-		return l
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, port))
+	is.NoErr(err)
+	server := &control.Server{
+		Settings: control.Settings{
+			VM: ip, Listen: net.JoinHostPort(ip, port), DataFolder: folder, Seeds: seeds, Bootstrap: founds,
+		},
+		Listener: listener, Log: quiet(),
 	}
-	run := func(vm, ip, folder string, founds bool) (stop func()) {
-		server := &control.Server{
-			Settings: control.Settings{
-				VM: vm, Listen: net.JoinHostPort(ip, port), DataFolder: folder, Seeds: []string{founder}, Bootstrap: founds,
-			},
-			Listener: listen(ip), Log: quiet(),
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan error, 1)
-		go func() { ended <- server.Run(ctx) }()
-		return func() {
-			cancel()
-			is.NoErr(<-ended)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	return sync.OnceFunc(func() {
+		cancel()
+		is.NoErr(<-ended)
+	})
+}
+
+// leaderBy asks a control VM that does not lead who does, until it knows.
+func leaderBy(ctx context.Context, ip string) string {
+	client := &protorpc.Client{Address: net.JoinHostPort(ip, port)}
+	defer client.Close()
+	for ctx.Err() == nil {
+		response := &wire.RenewResponse{}
+		err := client.Call(ctx, "Control.Renew", &wire.RenewRequest{Vm: "e1"}, response)
+		if err == nil && !response.GetAccepted() && response.GetLeaderAddress() != "" {
+			return response.GetLeaderAddress()
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
-	stop := run("c1", founder, t.TempDir(), true)
-	defer stop()
-	defer run("c2", relay, "", true)()
+	return ""
+}
 
-	client := &protorpc.Client{Address: net.JoinHostPort(relay, port)}
+// membersBy returns the members that a leader knows, once there are as many as wanted.
+func membersBy(ctx context.Context, leader string, wanted int) int {
+	client := &protorpc.Client{Address: leader}
 	defer client.Close()
-	leader := ""
-	for leader == "" && ctx.Err() == nil {
-		response := &wire.RenewResponse{}
-		is.NoErr(client.Call(ctx, "Control.Renew", &wire.RenewRequest{Vm: "e1"}, response))
-		is.True(!response.GetAccepted())
-		leader = response.GetLeaderAddress()
+	status := &wire.StatusResponse{}
+	for ctx.Err() == nil {
+		if client.Call(ctx, "Control.Status", &wire.StatusRequest{}, status) == nil && len(status.GetControl().GetMembers()) >= wanted {
+			break
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	return len(status.GetControl().GetMembers())
+}
+
+// TestVMWithoutDataSendsOthersOn: a control VM without a data folder never takes part, and
+// answers with the leader's address.
+func TestVMWithoutDataSendsOthersOn(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	defer vm(t, founder, t.TempDir(), true, founder)()
+	defer vm(t, relay, "", true, founder)()
+	leader := leaderBy(ctx, relay)
 	is.Equal(leader, net.JoinHostPort(founder, port))
+	is.Equal(membersBy(ctx, leader, 1), 1) // the one without data is no member
+}
 
-	status := &wire.StatusResponse{}
-	direct := &protorpc.Client{Address: leader}
-	defer direct.Close()
-	is.NoErr(direct.Call(ctx, "Control.Status", &wire.StatusRequest{}, status))
-	is.Equal(len(status.GetControl().GetMembers()), 1) // the one without data is no member
+// TestOnlyRelaysAsSeeds has all VMs stop and come back with seeds that keep nothing: these are
+// told by the members where the leader is, and tell a VM whose folder was lost.
+func TestOnlyRelaysAsSeeds(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	folder := t.TempDir()
+	stop := vm(t, founder, folder, true, founder)
+	is.Equal(membersBy(ctx, net.JoinHostPort(founder, port), 1), 1)
+	stop()
+
+	defer vm(t, relay, "", false, relay)()
+	defer vm(t, founder, folder, false, relay)()
+	leader := leaderBy(ctx, relay)
+	is.Equal(leader, net.JoinHostPort(founder, port))
+	defer vm(t, wiped, t.TempDir(), false, relay)()
+	is.Equal(membersBy(ctx, leader, 2), 2)
 }
 
 const (
-	// founder and relay are loopback addresses of two VMs that listen on one port.
+	// founder, relay and wiped are loopback addresses of VMs that listen on one port.
 	founder = "127.0.3.1"
 	relay   = "127.0.3.2"
+	wiped   = "127.0.3.3"
 	port    = "39173"
 )
--- a/control/server.go
+++ b/control/server.go
@@ -98,9 +98,12 @@
 	heardFrom map[string]string
 	logBytes  int
 	checked   checked
-	// relays says that this VM keeps nothing; relayedTo is then the leader that others name.
+	// relays says that this VM keeps nothing; relayedTo is then the leader that others name,
+	// learned the membership that they told last, and met where members called from.
 	relays    bool
 	relayedTo string
+	learned   *wire.Membership
+	met       map[string]string
 }
 
 func (s *Server) prepare() {
@@ -179,6 +182,7 @@
 	}
 	s.peers = map[string]*peer{}
 	s.heardFrom = map[string]string{}
+	s.met = map[string]string{}
 	s.waiting = map[string][]chan *wire.PublishResult{}
 	s.commanded = map[string]uint64{}
 	s.querying = map[string]bool{}
--- a/control/service.go
+++ b/control/service.go
@@ -72,6 +72,11 @@
 			answer.LeaderAddress = s.Settings.advertised()
 		}
 		answer.Bootstrapping = s.Settings.Bootstrap
+		if s.relays {
+			s.meet(newcomer)
+			answer.Membership = proto.CloneOf(s.learned)
+			return
+		}
 		if !s.formed {
 			return
 		}
