coord/promote, entry/runner: an overloaded primary whose replicas all lag becomes one itself

Change: owners report a primary as overloaded when late work has no turn there, reads want a replica and none has run one for a second. If a majority of the owners that are heard does, and a replica has received all that the primary holds, the primary is handed over as a planned stop would: the replica leads with what it has received, and the primary, which does not lag, serves reads. If no replica holds everything when no owner acknowledges any more, the primary stays.

Ways weighed: refusing the rest (what was done); reading on lagging replicas beyond the allowance (breaks what callers were promised); nothing else adds places.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -177,6 +177,16 @@
 	return loads
 }
 
+// Starving reports whether late work has no turn at the primary, since more comes in than it can do.
+func (q *Queue) Starving(now time.Time) bool {
+	for _, s := range q.servers {
+		if s.Primary && s.starves(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Submit takes a job, and starts it if a server is free.
 func (q *Queue) Submit(now time.Time, j Job) ([]Start, []Refusal) {
 	if !q.servable(now, j) {
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -281,9 +281,11 @@
 			health = promote.Unreachable
 		case wire.PrimaryHealth_PRIMARY_HEALTH_STALLED:
 			health = promote.Stalled
+		case wire.PrimaryHealth_PRIMARY_HEALTH_OVERLOADED:
+			health = promote.Overloaded
 		}
 		g.dirty = g.dirty || health != promote.Good
-		if health == promote.Good {
+		if health == promote.Good || health == promote.Overloaded {
 			delete(g.blind, r.GetVm())
 		}
 		g.machine.Observe(now, promote.Observation{
--- a/coord/promote/choose.go
+++ b/coord/promote/choose.go
@@ -60,7 +60,7 @@
 	if g.behindOld(answers) && now.Sub(g.since) < handOverGrace {
 		return g.query(now)
 	}
-	best, ok := g.best(g.staying(g.withoutOld(answers, needed)))
+	best, ok := g.best(g.candidates(answers, needed))
 	if !ok {
 		g.note = fmt.Sprintf("slot %q, which an operator chose, does not hold every acknowledged write", g.forced)
 		return g.query(now)
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -54,8 +54,14 @@
 	Good Health = iota
 	Unreachable
 	Stalled
+	// Overloaded primaries answer, but are asked for more than they can do, since no replica is
+	// fresh enough to take reads.
+	Overloaded
 )
 
+// usable reports whether a primary should stay for all that was found.
+func (h Health) usable() bool { return h == Good || h == Overloaded }
+
 // Observation is what one owner found about the primary of a term.
 type Observation struct {
 	VM            string
@@ -133,6 +139,9 @@
 	acceptLoss   bool
 	forced       string
 	marks        map[string]mark
+	// relieving says that the primary is to become a replica only to share its reads.
+	relieving  bool
+	nextRelief time.Time
 }
 
 // State returns the name of the state in chart.json.
@@ -213,6 +222,7 @@
 	if newTerm {
 		g.observations = nil
 		g.vetoes = 0
+		g.relieving = false
 		g.step(now, "chosen")
 	}
 }
@@ -223,6 +233,7 @@
 	g.primary = p
 	g.state = phases.Initial()
 	g.since = now
+	g.relieving = false
 }
 
 // Refused takes note that the recorded primary will not lead: another is chosen.
@@ -304,6 +315,18 @@
 		return nil
 	}
 	actions := g.repair(now)
+	if g.overloaded(now) && !now.Before(g.nextRelief) {
+		if g.relievable(now) {
+			g.relieving = true
+			g.nextRelief = now.Add(reliefPause)
+			g.step(now, "leaving")
+			return nil
+		}
+		if !now.Before(g.nextDoubt) {
+			g.nextDoubt = now.Add(queryInterval)
+			return append(actions, Action{Query: g.Slots})
+		}
+	}
 	if g.Announced && g.doubted(now) && !now.Before(g.nextDoubt) {
 		g.nextDoubt = now.Add(queryInterval)
 		actions = append(actions, Action{Query: []string{g.primary.Slot}})
@@ -315,7 +338,7 @@
 func (g *Group) doubted(now time.Time) bool {
 	for vm := range g.owners {
 		o, ok := g.observations[vm]
-		if ok && now.Sub(o.at) <= observationLife && o.Health != Good {
+		if ok && now.Sub(o.at) <= observationLife && !o.Health.usable() {
 			return true
 		}
 	}
@@ -344,6 +367,9 @@
 // tickClosing waits until the owners have finished what they began on a leaving primary.
 func (g *Group) tickClosing(now time.Time, fenced bool) []Action {
 	g.note = "the primary leaves; owners finish what they began on it"
+	if g.relieving {
+		g.note = "the primary is overloaded and its replicas lag; owners finish what they began on it"
+	}
 	if g.suspected(now) || now.Sub(g.since) >= closingLimit {
 		g.step(now, "confirmed")
 		return nil
@@ -371,7 +397,7 @@
 		}
 		counted++
 		span[domain] = true
-		if heard && o.Health != Good {
+		if heard && !o.Health.usable() {
 			against++
 			domains[domain] = true
 		}
@@ -388,7 +414,7 @@
 	}
 	var blind []string
 	for vm, o := range g.observations {
-		if now.Sub(o.at) <= observationLife && o.Health != Good && !s.Asked.Before(o.at.Add(-observationLife)) {
+		if now.Sub(o.at) <= observationLife && !o.Health.usable() && !s.Asked.Before(o.at.Add(-observationLife)) {
 			blind = append(blind, vm)
 		}
 	}
--- a/entry/runner/group.go
+++ b/entry/runner/group.go
@@ -44,6 +44,9 @@
 	watched map[*place]bool
 	// active says that this VM has had the lease of the term: before, the primary may not lead yet.
 	active bool
+	// wanted is when a read last found every replica too far behind, and served when a replica
+	// last ran one.
+	wanted, served time.Time
 }
 
 // ticket tells a waiting statement which server runs it, or why none does.
@@ -55,7 +58,7 @@
 func newGroup(r *Runner, name string) *group {
 	g := &group{
 		runner: r, name: name, pools: map[string]*pool{}, starts: map[uint64]chan ticket{},
-		replicas: map[string]*replica{}, watched: map[*place]bool{},
+		replicas: map[string]*replica{}, watched: map[*place]bool{}, served: clock.Now(),
 	}
 	g.queue.FailureDomain = r.FailureDomain
 	return g
@@ -208,8 +211,11 @@
 		return holding, nil
 	}
 	found := wire.PrimaryHealth_PRIMARY_HEALTH_GOOD
-	if g.health.Unusable() {
+	switch {
+	case g.health.Unusable():
 		found = wire.PrimaryHealth_PRIMARY_HEALTH_UNREACHABLE
+	case g.overloaded(clock.Now()):
+		found = wire.PrimaryHealth_PRIMARY_HEALTH_OVERLOADED
 	}
 	return holding, &wire.Observation{Group: g.name, Term: g.term, Health: found}
 }
--- a/entry/runner/replicas.go
+++ b/entry/runner/replicas.go
@@ -21,6 +21,9 @@
 	reportDivisor = 4
 	// oldLag stands for a position that is older than all that is remembered of the primary.
 	oldLag = time.Minute
+	// aloneLimit is how long no replica may have run a read before the primary counts as alone: a
+	// lag of the usual kind is over within it.
+	aloneLimit = time.Second
 	// soon is a wait that a read may be expected to have behind it when it reaches the server.
 	soon = 3 * time.Millisecond
 )
@@ -45,6 +48,9 @@
 	if onPrimary {
 		return
 	}
+	if reply.Verdict == Succeeded {
+		g.served = now
+	}
 	r.Replayed, r.Reported = reply.Position, now
 	r.Lag = oldLag
 	if age, ok := g.seen.Age(asked, reply.Position); ok {
@@ -65,9 +71,18 @@
 		}
 	}
 	slices.Sort(slots)
+	if len(slots) > 0 && len(slots) == len(g.pools)-1 {
+		g.wanted = now
+	}
 	return slots
 }
 
+// overloaded reports whether the primary has more to do than it can, and reads that replicas
+// could take off it if they were not too far behind; mu is held.
+func (g *group) overloaded(now time.Time) bool {
+	return now.Sub(g.wanted) < aloneLimit && now.Sub(g.served) >= aloneLimit && g.queue.Starving(now)
+}
+
 // watch has a read interrupted when its server falls silent.
 func (g *group) watch(p *place) {
 	g.mu.Lock()
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -121,7 +121,7 @@
 		request.Holdings = append(request.Holdings, holding)
 		if observation != nil {
 			request.Observations = append(request.Observations, observation)
-			urgent = urgent || observation.GetHealth() != wire.PrimaryHealth_PRIMARY_HEALTH_GOOD
+			urgent = urgent || observation.GetHealth() == wire.PrimaryHealth_PRIMARY_HEALTH_UNREACHABLE
 		}
 		urgent = urgent || g.closing()
 	}
