coord/raft, entry: a leader sooner after a restart of all, and VMs out of touch say so sooner

And VMs that are cut off with their callers look healthy for a second.

Change: the voters' own times are spread over half an election timeout, however many they are, and pre-votes are repeated after an eighth to a quarter of one. A VM that has heard no leader for 0.7 s is unhealthy, and one that hears nobody at all for 0.6 s refuses at once; both are longer than the time between two renewals.

TestLastVotersElectSoon fails without the first.

--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -7,7 +7,7 @@
 )
 
 // preVoteDivisor is the part of an election timeout after which a pre-vote is repeated.
-const preVoteDivisor = 4
+const preVoteDivisor = 8
 
 func (n *Node) campaign(now time.Time, role Role) {
 	n.role = role
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -16,9 +16,10 @@
 	// driftDivisor is the inverse of the clock rate error that leases tolerate between two VMs.
 	driftDivisor     = 50
 	maxAppendEntries = 256
-	// stepsPerTimeout divides an election timeout into the steps between two voters' own times,
-	// each many round trips.
-	stepsPerTimeout = 4
+	// spreadDivisor is the part of an election timeout over which the voters' own times are spread:
+	// of seven voters two are some round trips apart, and the last one need not wait long when only
+	// the last ones are up.
+	spreadDivisor = 2
 )
 
 // Role is what a node is in its term.
@@ -319,10 +320,11 @@
 // resetDeadline gives each voter a time of its own, in the order of their keys, so that two of
 // them seldom ask for votes at once; what is left to chance keeps them apart when clocks differ.
 func (n *Node) resetDeadline(now time.Time) {
-	step := n.ElectionTimeout / stepsPerTimeout
-	rank := 0
+	step, rank := n.ElectionTimeout/spreadDivisor, 0
 	if n.membership != nil {
-		rank = max(0, slices.Index(voters(n.membership), n.Self))
+		all := voters(n.membership)
+		step /= time.Duration(max(1, len(all)))
+		rank = max(0, slices.Index(all, n.Self))
 	}
 	jitter := time.Duration(rank)*step + time.Duration(n.random.Int64N(int64(step)))
 	n.deadline = now.Add(n.ElectionTimeout + n.ElectionTimeout/driftDivisor + jitter)
--- a/coord/raft/raft_test.go
+++ b/coord/raft/raft_test.go
@@ -205,3 +205,23 @@
 	}
 	return nil
 }
+
+// TestLastVotersElectSoon has all seven voters lose power, of which the last four in the order of
+// their keys come back: they do not wait as long for those before them as an election takes.
+func TestLastVotersElectSoon(t *testing.T) {
+	is := is.New(t)
+	const electionTimeout = 600 * time.Millisecond
+	for seed := range uint64(20) {
+		c := newCluster(seed, 7)
+		is.True(c.awaitLeader(5*time.Second) != nil)
+		for _, key := range c.order {
+			c.crash(key)
+		}
+		c.run(time.Second)
+		for _, key := range c.order[3:] {
+			c.boot(c.members[key])
+		}
+		is.True(c.awaitLeader(electionTimeout*7/4) != nil) // votes are refused for one timeout after a restart
+		is.Equal(len(c.faults), 0)
+	}
+}
--- a/entry/sessions/owners.go
+++ b/entry/sessions/owners.go
@@ -24,8 +24,8 @@
 	// leader needs, and short for callers whom another VM could serve.
 	OutOfTouch = 1800 * time.Millisecond
 	// lostTouch is how long neither the control leader nor any owner is heard before a VM refuses
-	// at once: a renewal and the next one have failed by then.
-	lostTouch = 900 * time.Millisecond
+	// at once: a renewal has failed by then, and owners answer each other much sooner.
+	lostTouch = 600 * time.Millisecond
 	// comeBack is when a caller may try again that no owner could serve: owners and primaries
 	// change within seconds.
 	comeBack = 300 * time.Millisecond
--- a/entry/statements.go
+++ b/entry/statements.go
@@ -26,9 +26,9 @@
 	rotationDelay = 2200 * time.Millisecond
 	// stopMargin is what is left of the grace when the daemon ends by itself.
 	stopMargin = 500 * time.Millisecond
-	// unheard is how long a VM may hear no control leader and look healthy: a balancer wants two
-	// bad answers, so that a change of leaders does not move callers.
-	unheard = time.Second
+	// unheard is how long a VM may hear no control leader and look healthy: longer than between two
+	// renewals. A balancer wants two bad answers, so that a change of leaders moves no callers.
+	unheard = 700 * time.Millisecond
 	// touchInterval is how often that is looked at.
 	touchInterval = 250 * time.Millisecond
 )
