--- a/entry/sessions/owners.go
+++ b/entry/sessions/owners.go
@@ -50,7 +50,7 @@
 			last = a
 		}
 		held := clock.Now().Sub(began)
-		if held >= limit/holdDivisor || s.View.Age() > OutOfTouch || s.cutOff() || !pause(ctx, changed) {
+		if held >= limit/holdDivisor || s.View.Age() > OutOfTouch || s.CutOff() || !pause(ctx, changed) {
 			return &wire.StatementAnswer{
 				Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: last.GetReason(),
 				RetryMilliseconds: uint32(comeBack.Milliseconds()),
@@ -59,9 +59,9 @@
 	}
 }
 
-// cutOff reports whether this VM is cut off from all others, so that another one serves its
+// CutOff reports whether this VM is cut off from all others, so that another one serves its
 // callers sooner: it has lost the control leader and every owner that it has asked.
-func (s *Sessions) cutOff() bool {
+func (s *Sessions) CutOff() bool {
 	if s.View.Age() <= lostTouch {
 		return false
 	}
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -62,7 +62,7 @@
 	for {
 		changed := s.View.Changed()
 		if s.View.Confirmed() {
-			return !s.cutOff()
+			return !s.CutOff()
 		}
 		select {
 		case <-changed:
