entry/control: control VMs are asked three at a time while the leader is unknown

Cause: after all had lost power, entry VMs asked one control VM after the other.

Change: three are asked at once, and whom they name as the leader next; 50 ms after one has answered that it knows none, the VM asks three others.

--- a/entry/control/changes_test.go
+++ b/entry/control/changes_test.go
@@ -97,3 +97,36 @@
 	cancel()
 	is.NoErr(<-ended)
 }
+
+// TestLeaderIsFoundAmongTheSilent: control VMs that are not up yet answer nothing, and cost a VM
+// that has just started no renewal.
+func TestLeaderIsFoundAmongTheSilent(t *testing.T) {
+	is := is.New(t)
+	silent := func() string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = listener.Close() })
+		return listener.Addr().String()
+	}
+	leader := &controlVM{version: 5, inForce: 5, objects: &wire.Objects{}}
+	address := serve(t, leader)
+	leader.addresses = []string{address}
+
+	v := view.New()
+	client := &control.Client{VM: "e1", Addresses: []string{address, silent(), silent()}, View: v, Reporter: nothing{}}
+	client.Prepare()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- client.Run(ctx) }()
+	for v.Version() != 5 && ctx.Err() == nil {
+		select {
+		case <-v.Changed():
+		case <-ctx.Done():
+		}
+	}
+	is.Equal(v.Version(), uint64(5))
+	is.Equal(client.Failures(), uint64(0))
+	cancel()
+	is.NoErr(<-ended)
+}
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +18,6 @@
 	RenewInterval = 500 * time.Millisecond
 	// urgentInterval is the least time between two renewals.
 	urgentInterval = 50 * time.Millisecond
-	renewTimeout   = 400 * time.Millisecond
 	// renewalsPerLease lets two renewals fail before a lease ends.
 	renewalsPerLease = 4
 	maxAnnouncements = 4096
@@ -28,8 +25,6 @@
 	changesTimeout = 1500 * time.Millisecond
 )
 
-var errNoLeader = errors.New("no control VM leads")
-
 // Reporter tells what this VM holds and has found out.
 type Reporter interface {
 	// Report fills in holdings and observations and reports whether an early answer is wanted.
@@ -256,55 +251,3 @@
 		}
 	}
 }
-
-// ask sends the request to the leader as far as it is known, and otherwise to each control VM.
-func (c *Client) ask(ctx context.Context, request *wire.RenewRequest) (*wire.RenewResponse, error) {
-	address := c.leader
-	if address == "" {
-		address = c.candidate()
-	}
-	response, err := c.call(ctx, address, request)
-	if err != nil || !response.GetAccepted() {
-		c.leader = response.GetLeaderAddress()
-		if err == nil && c.leader != "" && c.leader != address {
-			response, err = c.call(ctx, c.leader, request)
-		}
-	}
-	if err != nil {
-		c.leader = ""
-		return nil, err
-	}
-	if !response.GetAccepted() {
-		c.leader = ""
-		return nil, errNoLeader
-	}
-	if c.leader == "" {
-		c.leader = address
-	}
-	return response, nil
-}
-
-// candidate returns the next control VM to ask: those last known to serve and those of the
-// settings take turns, since either list may be out of date.
-func (c *Client) candidate() string {
-	c.mu.Lock()
-	addresses := slices.Concat(c.View.ControlAddresses(), c.Addresses)
-	c.mu.Unlock()
-	c.preferred++
-	return addresses[c.preferred%len(addresses)]
-}
-
-func (c *Client) call(ctx context.Context, address string, request *wire.RenewRequest) (*wire.RenewResponse, error) {
-	client := c.clients[address]
-	if client == nil {
-		client = &protorpc.Client{Address: address, Dialer: c.Dialer, Traffic: c.Traffic}
-		c.clients[address] = client
-	}
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
-	defer cancel()
-	response := &wire.RenewResponse{}
-	if err := client.Call(ctx, "Control.Renew", request, response); err != nil {
-		return nil, err
-	}
-	return response, nil
-}
