coord/config: one way to bring a set up to date with changed objects

Cause: the control leader and entry VMs each had a copy of it since the leader decodes changes only, and two tests of the renewal client ran it alike.

--- a/coord/config/object.go
+++ b/coord/config/object.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"trefoilcourse/wire"
 )
 
 // The kinds of objects.
@@ -128,6 +130,22 @@
 	return fmt.Errorf("kind %q does not exist", key.Kind)
 }
 
+// Take brings the set up to date with changed objects, or with whole set makes it consist of them.
+// They were checked before they were accepted; one that does not decode is left out.
+func (s *Set) Take(objects []*wire.Object, whole bool) {
+	if whole {
+		*s = *Empty()
+	}
+	for _, o := range objects {
+		key := Key{Kind: o.GetKind(), Name: o.GetName()}
+		if o.GetDeleted() {
+			s.Delete(key)
+			continue
+		}
+		_ = s.Put(key, o.GetBody())
+	}
+}
+
 // Delete removes one object from the set.
 func (s *Set) Delete(key Key) {
 	switch key.Kind {
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -130,7 +130,7 @@
 	if l.version == l.State.Version() {
 		return
 	}
-	l.take(l.State.Since(l.version))
+	l.set.Take(l.State.Since(l.version))
 	l.version = l.State.Version()
 	for name, g := range l.set.Groups {
 		if l.groups[name] == nil {
@@ -158,22 +158,6 @@
 	l.stale = true
 }
 
-// take brings the decoded set up to date with the changes since the last look.
-func (l *Leader) take(changes []*wire.Object, whole bool) {
-	if whole {
-		l.set = config.Empty()
-	}
-	for _, o := range changes {
-		key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
-		if o.GetDeleted() {
-			l.set.Delete(key)
-			continue
-		}
-		// Objects were checked before they were proposed; one that does not decode is left out.
-		_ = l.set.Put(key, o.GetBody())
-	}
-}
-
 func primaryOf(m *state.Machine, name string) promote.Primary {
 	recorded := m.Primary(name)
 	p := promote.Primary{Term: recorded.GetTerm(), Slot: recorded.GetSlot(), Incarnations: map[string]string{}}
--- a/entry/control/changes_test.go
+++ b/entry/control/changes_test.go
@@ -62,6 +62,26 @@
 	return listener.Addr().String()
 }
 
+// renewUntil runs the client until its view has a configuration version, and on until stop.
+func renewUntil(t *testing.T, client *control.Client, v *view.View, version uint64) (stop func()) {
+	is := is.New(t)
+	client.Prepare()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	ended := make(chan error, 1)
+	go func() { ended <- client.Run(ctx) }()
+	for v.Version() != version && ctx.Err() == nil {
+		select {
+		case <-v.Changed():
+		case <-ctx.Done():
+		}
+	}
+	is.Equal(v.Version(), version)
+	return func() {
+		cancel()
+		is.NoErr(<-ended)
+	}
+}
+
 type nothing struct{}
 
 func (nothing) Report(time.Time, *wire.RenewRequest) bool { return false }
@@ -78,24 +98,11 @@
 
 	v := view.New()
 	client := &control.Client{VM: "e1", Addresses: []string{address}, View: v, Reporter: nothing{}}
-	client.Prepare()
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	ended := make(chan error, 1)
-	go func() { ended <- client.Run(ctx) }()
-	for v.Version() != 5 && ctx.Err() == nil {
-		client.Poke()
-		select {
-		case <-v.Changed():
-		case <-ctx.Done():
-		}
-	}
-	is.Equal(v.Version(), uint64(5))
+	stop := renewUntil(t, client, v, 5)
 	_, _, _, ok := v.Database("d")
 	is.True(ok)
 	is.Equal(leader.asked.Load(), int64(1))
-	cancel()
-	is.NoErr(<-ended)
+	stop()
 }
 
 // TestLeaderIsFoundAmongTheSilent: control VMs that are not up yet answer nothing, and cost a VM
@@ -114,19 +121,7 @@
 
 	v := view.New()
 	client := &control.Client{VM: "e1", Addresses: []string{address, silent(), silent()}, View: v, Reporter: nothing{}}
-	client.Prepare()
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	ended := make(chan error, 1)
-	go func() { ended <- client.Run(ctx) }()
-	for v.Version() != 5 && ctx.Err() == nil {
-		select {
-		case <-v.Changed():
-		case <-ctx.Done():
-		}
-	}
-	is.Equal(v.Version(), uint64(5))
+	stop := renewUntil(t, client, v, 5)
 	is.Equal(client.Failures(), uint64(0))
-	cancel()
-	is.NoErr(<-ended)
+	stop()
 }
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -121,18 +121,7 @@
 	if version <= v.version {
 		return
 	}
-	if whole {
-		v.set = config.Empty()
-	}
-	for _, o := range objects {
-		key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
-		if o.GetDeleted() {
-			v.set.Delete(key)
-			continue
-		}
-		// Objects were checked before they were accepted.
-		_ = v.set.Put(key, o.GetBody())
-	}
+	v.set.Take(objects, whole)
 	v.version = version
 	v.behind = time.Time{}
 }
