coord/leader, control: each change of a group's state is logged with what it rests on

Change: a line "group changes its state" with the states, the reason, the owners' findings and the servers' answers with their ages.

--- a/control/orders.go
+++ b/control/orders.go
@@ -78,6 +78,11 @@
 // act carries out one decision of the leader.
 func (s *Server) act(ctx context.Context, a leader.Action) {
 	switch {
+	case a.Step != nil:
+		s.Log.WithFields(logrus.Fields{
+			"group": a.Group, "from": a.Step.From, "to": a.Step.To, "why": a.Step.Why, "evidence": a.Step.Evidence,
+			"primary-term": s.leader.Primary(a.Group).Term, "term": s.node.Term(),
+		}).Info("group changes its state")
 	case a.Owners != nil:
 		s.command("owners/"+a.Group, &wire.Command{Owners: a.Owners}, logrus.Fields{"group": a.Group, "owners": a.Owners.GetVms(), "former": a.Owners.GetFormer()})
 	case a.Server != nil:
--- a/coord/leader/announced_test.go
+++ b/coord/leader/announced_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -319,3 +320,35 @@
 		is.Equal(most(), 1)
 	}
 }
+
+// TestStepsAreTold: a change of a group's state comes with the findings and answers that it rests
+// on, and their ages.
+func TestStepsAreTold(t *testing.T) {
+	is := is.New(t)
+	a := settled(t)
+	var steps []*leader.Step
+	a.statuses["p"] = promote.Status{}
+	for range 150 {
+		a.sequence++
+		a.leader.Renew(a.now, &wire.RenewRequest{
+			Vm: "e1", Incarnation: "1", FailureDomain: "e1", LinkAddress: "e1:1", Sequence: a.sequence,
+			Observations: []*wire.Observation{{Group: "g", Term: a.machine.Primary("g").GetTerm(), Health: wire.PrimaryHealth_PRIMARY_HEALTH_UNREACHABLE}},
+		})
+		for _, action := range a.leader.Tick(a.now) {
+			if action.Step != nil {
+				steps = append(steps, action.Step)
+			}
+			a.act(action)
+		}
+		a.now = a.now.Add(20 * time.Millisecond)
+	}
+	var states []string
+	for _, s := range steps {
+		states = append(states, s.To)
+	}
+	is.Equal(states[:4], []string{promote.Checking, promote.Fencing, promote.Choosing, promote.Ordering})
+	is.Equal(steps[0].From, promote.Steady)
+	is.True(steps[0].Why != "")
+	is.True(strings.Contains(steps[0].Evidence, "e1 finds it unreachable"))
+	is.True(strings.Contains(steps[1].Evidence, "p asked 20ms ago, does not answer"))
+}
--- a/coord/leader/groups.go
+++ b/coord/leader/groups.go
@@ -45,6 +45,7 @@
 			delete(g.servers, slot)
 		}
 	}
+	before := g.machine.State()
 	if recorded := primaryOf(l.State, name); recorded.Term > 0 {
 		g.machine.Recorded(now, recorded)
 	}
@@ -57,6 +58,9 @@
 		}
 		actions = append(actions, Action{Group: name, Action: a})
 	}
+	if after := g.machine.State(); after != before {
+		actions = append(actions, Action{Group: name, Step: &Step{before, after, g.machine.Note(), g.machine.Evidence(now)}})
+	}
 	if g.machine.Announced {
 		actions = append(actions, l.unrecorded(now, name, g)...)
 	}
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -42,6 +42,15 @@
 	// Owners or Server are to be recorded.
 	Owners *wire.Owners
 	Server *wire.Announcement
+	// Step is to be logged.
+	Step *Step
+}
+
+// Step is a change of a group's state in the chart of package promote, with what it rests on.
+type Step struct {
+	From, To string
+	Why      string
+	Evidence string
 }
 
 // Leader is the control leader's soft state; it is not safe for concurrent use.
--- /dev/null
+++ b/coord/promote/evidence.go
@@ -0,0 +1,38 @@
+package promote
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// String returns the finding as logs name it.
+func (h Health) String() string {
+	return [...]string{"good", "unreachable", "stalled", "overloaded"}[h]
+}
+
+// Evidence returns what the group's decisions rest on, for logs: the findings of its owners and
+// the answers of its servers, with their ages.
+func (g *Group) Evidence(now time.Time) string {
+	var parts []string
+	for _, vm := range slices.Sorted(maps.Keys(g.owners)) {
+		if o, ok := g.observations[vm]; ok {
+			parts = append(parts, fmt.Sprintf("%s finds it %s %v ago", vm, o.Health, now.Sub(o.at)))
+		} else {
+			parts = append(parts, vm+" has found nothing")
+		}
+	}
+	for _, slot := range g.Slots {
+		s, ok := g.statuses[slot]
+		switch {
+		case !ok:
+		case s.Incarnation == "":
+			parts = append(parts, fmt.Sprintf("%s asked %v ago, does not answer", slot, now.Sub(s.Asked)))
+		default:
+			parts = append(parts, fmt.Sprintf("%s asked %v ago, primary %t at %v", slot, now.Sub(s.Asked), s.Primary, s.Position))
+		}
+	}
+	return strings.Join(parts, "; ")
+}
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -46,6 +46,12 @@
 	closingLimit = 30 * time.Second
 )
 
+// What a group waits for, in words.
+const (
+	suspectedNote = "owners cannot use the primary; asking it"
+	leavingNote   = "the primary leaves; owners finish what they began on it"
+)
+
 // Health is an owner's finding about a primary.
 type Health int
 
@@ -307,10 +313,12 @@
 		return g.tickFirst(now)
 	}
 	if g.suspected(now) && !now.Before(g.vetoUntil) {
+		g.note = suspectedNote
 		g.step(now, "suspected")
 		return g.query(now)
 	}
 	if g.primaryLeaves(now) {
+		g.note = leavingNote
 		g.step(now, "leaving")
 		return nil
 	}
@@ -318,6 +326,7 @@
 	if g.overloaded(now) && !now.Before(g.nextRelief) {
 		if g.relievable(now) {
 			g.relieving = true
+			g.note = reliefNote
 			g.nextRelief = now.Add(reliefPause)
 			g.step(now, "leaving")
 			return nil
@@ -366,9 +375,9 @@
 
 // tickClosing waits until the owners have finished what they began on a leaving primary.
 func (g *Group) tickClosing(now time.Time, fenced bool) []Action {
-	g.note = "the primary leaves; owners finish what they began on it"
+	g.note = leavingNote
 	if g.relieving {
-		g.note = "the primary is overloaded and its replicas lag; owners finish what they began on it"
+		g.note = reliefNote
 	}
 	if g.suspected(now) || now.Sub(g.since) >= closingLimit {
 		g.step(now, "confirmed")
@@ -423,7 +432,7 @@
 }
 
 func (g *Group) tickChecking(now time.Time) []Action {
-	g.note = "owners cannot use the primary; asking it"
+	g.note = suspectedNote
 	s, ok := g.statuses[g.primary.Slot]
 	fresh := ok && !s.Asked.Before(g.since)
 	if fresh && g.healthy(s) && g.vetoes < vetoLimit {
--- a/coord/promote/relief.go
+++ b/coord/promote/relief.go
@@ -13,6 +13,8 @@
 	reliefStatusLife = 500 * time.Millisecond
 )
 
+const reliefNote = "the primary is overloaded and its replicas lag; owners finish what they began on it"
+
 // A replica that applies late serves no reads, but holds all that it has received, and leads with
 // that at once. A group whose replicas all lag has one server for everything; handed over to one
 // of them it has two, since the primary becomes a replica that does not lag.
