coord/leader: owners renew soon while the primary of their group is changed

Change: the leader's answer asks for the next renewal early as long as a group that the VM owns is not steady.

--- a/coord/leader/announced_test.go
+++ b/coord/leader/announced_test.go
@@ -352,3 +352,17 @@
 	is.True(strings.Contains(steps[0].Evidence, "e1 finds it unreachable"))
 	is.True(strings.Contains(steps[1].Evidence, "p asked 20ms ago, does not answer"))
 }
+
+// TestOwnersAskSoonDuringAChange: callers wait until owners hear of the next primary, so these do
+// not wait for their next renewal in turn.
+func TestOwnersAskSoonDuringAChange(t *testing.T) {
+	is := is.New(t)
+	a := settled(t)
+	_, response := a.renew("e1", &wire.Holding{Group: "g", Term: 7})
+	is.True(!response.GetSoon())
+	is.NoErr(a.leader.Force(a.now, "g", "", false))
+	_, response = a.renew("e1", &wire.Holding{Group: "g", Term: 7})
+	is.True(response.GetSoon())
+	_, response = a.renew("e2")
+	is.True(!response.GetSoon()) // it owns nothing of it
+}
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -217,10 +217,20 @@
 	} else {
 		response.Soon = true
 	}
+	response.Soon = response.Soon || l.changing(m)
 	response.Drain = m.drain
 	return response
 }
 
+// changing reports whether the primary of a group that the VM owns is being changed: callers wait
+// for the VM to hear of the next one.
+func (l *Leader) changing(m *member) bool {
+	return slices.ContainsFunc(m.owned, func(name string) bool {
+		g := l.groups[name]
+		return g != nil && g.machine.Primary().Term > 0 && g.machine.State() != promote.Steady
+	})
+}
+
 // Announce takes a server's announcement that reached the control VMs directly.
 func (l *Leader) Announce(now time.Time, a *wire.Announcement) {
 	l.configure(now)
