coord/health, entry: what reached a VM before it stood still is neither sent nor run

Change: a VM notices by a gap of a second in its own beat that it stood still, by the clock that counts suspensions, and for 100 ms refuses what begins, as an owner and towards callers. Work is taken by other VMs.

--- a/coord/health/doc.go
+++ b/coord/health/doc.go
@@ -8,4 +8,6 @@
 //	h.Asked(now)
 //	h.Answered(now)
 //	usable, changed := h.Judge(now)
+//
+// Standstill tells whether this VM itself has just woken, so that nothing runs that reached it before.
 package health
--- a/entry/runner/execute.go
+++ b/entry/runner/execute.go
@@ -52,6 +52,9 @@
 		return elsewhere("this entry VM does not own the group")
 	}
 	now := clock.Now()
+	if begins := q.GetUnit() == "" || q.GetBegins(); begins && r.Woke() {
+		return elsewhere("this entry VM stood still until now")
+	}
 	w := &work{
 		group: g, request: q, database: d, staleness: staleness, own: session.FromWire(q.GetFloor()),
 		began:    now.Add(-time.Duration(q.GetAgeMilliseconds()) * time.Millisecond),
--- a/entry/runner/fake_test.go
+++ b/entry/runner/fake_test.go
@@ -110,8 +110,10 @@
 
 // owner is a runner that owns group g, with primary p and replica r.
 type owner struct {
-	t       *testing.T
-	runner  *runner.Runner
+	t      *testing.T
+	runner *runner.Runner
+	// halt ends the runner's beat.
+	halt    func()
 	view    *view.View
 	servers *servers
 	// late moves the clock by which leases end.
@@ -181,10 +183,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- o.runner.Run(ctx) }()
-	t.Cleanup(func() {
+	o.halt = sync.OnceFunc(func() {
 		cancel()
 		is.NoErr(<-ended)
 	})
+	t.Cleanup(o.halt)
 	o.until(func() bool { return len(o.holdings()) == 1 && o.holdings()[0].GetTerm() == 1 })
 	return o
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -7,6 +7,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"trefoilcourse/coord/clock"
+	"trefoilcourse/coord/health"
 	"trefoilcourse/entry/internal/metrics"
 	"trefoilcourse/entry/internal/view"
 	"trefoilcourse/wire"
@@ -33,6 +35,8 @@
 	mu     sync.Mutex
 	groups map[string]*group
 	units  map[string]*unit
+	// still notices that this VM stood still.
+	still health.Standstill
 }
 
 // Run holds groups as leases come and go until ctx ends.
@@ -53,6 +57,14 @@
 }
 
 func (r *Runner) tend() {
+	now := clock.Now()
+	r.mu.Lock()
+	r.still.Beat(now)
+	woke := r.still.Woke(now)
+	r.mu.Unlock()
+	if woke {
+		r.Log.Info("has stood still; what had reached it before is not run")
+	}
 	for _, name := range r.View.Held() {
 		configured, _, ok := r.View.Configured(name)
 		if ok && configured.Announced && r.View.Connections(name) > 0 {
@@ -97,6 +109,13 @@
 	return groups
 }
 
+// Woke reports whether this VM stood still until a moment ago.
+func (r *Runner) Woke() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.still.Woke(clock.Now())
+}
+
 func (r *Runner) group(name string) *group {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/runner/runner_test.go
+++ b/entry/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -267,3 +268,15 @@
 	is.Equal(len(all), 3)
 	is.True(all[1].slot != all[2].slot)
 }
+
+// TestNothingOfBeforeAStandstillRuns: a VM that wakes finds statements whose callers have gone.
+func TestNothingOfBeforeAStandstillRuns(t *testing.T) {
+	is := is.New(t)
+	o := own(t, func(string, string, session.Position) (runner.Reply, error) { return good(60), nil })
+	is.Equal(o.execute(write()).GetDisposition(), answered)
+	o.halt()
+	time.Sleep(1100 * time.Millisecond) // longer than any beat is late
+	a := o.execute(write())
+	is.Equal(a.GetDisposition(), elsewhere)
+	is.True(strings.Contains(a.GetReason(), "stood still"))
+}
--- a/entry/sessions/owners.go
+++ b/entry/sessions/owners.go
@@ -37,6 +37,10 @@
 	if !ok {
 		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Code: noDatabase, Reason: "no database is named " + r.GetDatabase()}, ""
 	}
+	if s.Woke != nil && s.Woke() {
+		// Who sent this before has given it up.
+		return &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: "this entry VM stood still until now"}, ""
+	}
 	began := clock.Now()
 	limit := time.Duration(d.StatementMilliseconds) * time.Millisecond
 	last := &wire.StatementAnswer{Disposition: wire.Disposition_DISPOSITION_NOT_RUN, Reason: "no entry VM owns the group"}
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -77,6 +77,8 @@
 type network struct {
 	net.Dialer
 	quiet atomic.Bool
+	// woke says that the VM itself has stood still.
+	woke atomic.Bool
 }
 
 func (n *network) DialContext(ctx context.Context, kind, address string) (net.Conn, error) {
@@ -130,7 +132,7 @@
 		},
 		DirectoryEpoch: 1, DirectoryRevision: 1, Groups: []*wire.GroupState{state}, Members: members,
 	})
-	s := &sessions.Sessions{VM: "e1", FailureDomain: "d1", Life: "1", View: v, Local: local, Dialer: dialer, Metrics: &metrics.Metrics{}, Log: log}
+	s := &sessions.Sessions{VM: "e1", FailureDomain: "d1", Life: "1", View: v, Local: local, Woke: dialer.woke.Load, Dialer: dialer, Metrics: &metrics.Metrics{}, Log: log}
 	t.Cleanup(s.Close)
 	one, ok := s.Open("d")
 	is.True(ok)
@@ -292,3 +294,16 @@
 	is.Equal(do(s, statement.Write, "w").Outcome, statement.NotRun)
 	is.Equal(len(local.texts()), asked+1)
 }
+
+// TestNothingOfBeforeAStandstillIsSent: a VM that wakes finds requests of callers that have gone,
+// and asks no owner to run them.
+func TestNothingOfBeforeAStandstillIsSent(t *testing.T) {
+	is := is.New(t)
+	local := &owner{answer: done("I")}
+	s, vm := openAt(t, local, nil, clock.Now)
+	vm.woke.Store(true)
+	is.Equal(do(s, statement.Write, "w").Outcome, statement.NotRun)
+	is.Equal(len(local.texts()), 0)
+	vm.woke.Store(false)
+	is.Equal(do(s, statement.Write, "w").Outcome, statement.Done)
+}
