--- /dev/null
+++ b/control/settings_test.go
@@ -0,0 +1,33 @@
+package control_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"trefoilcourse/control"
+)
+
+// TestSettingsThatCannotWork: each is refused with an error that names the setting.
+func TestSettingsThatCannotWork(t *testing.T) {
+	is := is.New(t)
+	usable := func() control.Settings {
+		return control.Settings{VM: "c1", Listen: "127.0.0.1:1", Seeds: []string{"127.0.0.1:2"}, DataFolder: "data", ToleratedLosses: 2}
+	}
+	is.NoErr(usable().Check())
+	relays := usable()
+	relays.DataFolder = ""
+	is.NoErr(relays.Check()) // a VM without a disk sends everybody on
+	for named, spoil := range map[string]func(*control.Settings){
+		"vm":                 func(s *control.Settings) { s.VM = "" },
+		"tolerated-losses":   func(s *control.Settings) { s.ToleratedLosses = 4 },
+		"lease-milliseconds": func(s *control.Settings) { s.LeaseMilliseconds = 10 },
+		"data-folder":        func(s *control.Settings) { s.DataFolder, s.Seeds = "", nil },
+	} {
+		s := usable()
+		spoil(&s)
+		err := s.Check()
+		is.True(err != nil && strings.Contains(err.Error(), named))
+	}
+}
