--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -76,6 +76,16 @@
 	is.Equal(membersBy(ctx, leader, 1), 1) // the one without data is no member
 }
 
+// TestRelayAmongTheFirstSeeds: a seed that keeps nothing is no founder, and is not waited for.
+func TestRelayAmongTheFirstSeeds(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	defer vm(t, relay, "", true, founder, relay)()
+	defer vm(t, founder, t.TempDir(), true, founder, relay)()
+	is.Equal(membersBy(ctx, net.JoinHostPort(founder, port), 1), 1)
+}
+
 // TestOnlyRelaysAsSeeds has all VMs stop and come back with seeds that keep nothing: these are
 // told by the members where the leader is, and tell a VM whose folder was lost.
 func TestOnlyRelaysAsSeeds(t *testing.T) {
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -216,3 +216,27 @@
 	is.True(byAim[0] > length/kinds[0].every*95/100)
 	is.True(byAim[0]+byAim[1] > byArrival[0]+byArrival[1])
 }
+
+// TestInTimeGoesBeforeLateOfAnyKind: what can still be in time goes before what is late, though the
+// late one's callers expected their answer sooner; a lower priority still waits.
+func TestInTimeGoesBeforeLateOfAnyKind(t *testing.T) {
+	is := is.New(t)
+	q := &dispatch.Queue{FailureDomain: "d1"}
+	q.SetServers([]dispatch.Server{{Slot: "p", Limit: 1, Primary: true}})
+	job := func(id uint64, priority, aim, came int) {
+		_, _ = q.Submit(at(came), dispatch.Job{
+			ID: id, Primary: true, Priority: priority, Deadline: at(5000),
+			Aim: time.Duration(aim) * time.Millisecond, Objective: at(came + aim),
+		})
+	}
+	job(1, 0, 1000, 0) // runs
+	job(2, 1, 100, 0)
+	job(3, 1, 500, 0)
+	job(4, 2, 500, 0)
+	var order []uint64
+	for range 3 {
+		started, _ := q.Done(at(200), "p", 10*time.Millisecond, true)
+		order = append(order, started[0].Job)
+	}
+	is.Equal(order, []uint64{3, 2, 4})
+}
--- a/coord/leader/configuration_test.go
+++ b/coord/leader/configuration_test.go
@@ -58,7 +58,7 @@
 	is.Equal(len(got.GetObjects()), manyDatabases)
 	again, err := a.machine.Changes(1)
 	is.NoErr(err)
-	is.Equal(&again.GetPacked()[0], &changes.GetPacked()[0]) // packed once for all who ask
+	is.True(&again.GetPacked()[0] == &changes.GetPacked()[0]) // packed once for all who ask
 
 	a.apply(&wire.Command{Publish: &wire.PublishRequest{Id: "one more", Number: 3, Objects: databases(manyDatabases + 1)}})
 	a.sequence++
--- a/entry/control/changes_test.go
+++ b/entry/control/changes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,10 +26,24 @@
 	inForce   uint64
 	objects   *wire.Objects
 	asked     atomic.Int64
+	// names is the leader that a VM which does not lead names.
+	names string
+	// slow is how long an answer takes.
+	slow      time.Duration
+	sequences sync.Map
+	repeated  atomic.Bool
 }
 
 // Renew answers as a leader whose changes are large.
 func (c *controlVM) Renew(r *wire.RenewRequest, answer *wire.RenewResponse) error {
+	if c.names != "" {
+		answer.LeaderAddress = c.names
+		return nil
+	}
+	if _, again := c.sequences.LoadOrStore(r.GetSequence(), true); again {
+		c.repeated.Store(true)
+	}
+	time.Sleep(c.slow)
 	answer.Accepted, answer.ControlTerm, answer.LeaseMilliseconds = true, 1, 2000
 	answer.ConfigurationVersion, answer.ControlAddresses = c.inForce, c.addresses
 	answer.ChangesApart = r.GetConfigurationVersion() < c.inForce
@@ -125,3 +140,19 @@
 	is.Equal(client.Failures(), uint64(0))
 	stop()
 }
+
+// TestLeaderIsAskedOnce: a leader that is being asked is not asked the same again because another
+// control VM names it; it would take the second for an old one, and refuse.
+func TestLeaderIsAskedOnce(t *testing.T) {
+	is := is.New(t)
+	leader := &controlVM{version: 5, inForce: 5, objects: &wire.Objects{}, slow: 30 * time.Millisecond}
+	address := serve(t, leader)
+	follower := serve(t, &controlVM{names: address})
+	leader.addresses = []string{address, follower}
+
+	v := view.New()
+	client := &control.Client{VM: "e1", Addresses: []string{address, follower}, View: v, Reporter: nothing{}}
+	stop := renewUntil(t, client, v, 5)
+	is.True(!leader.repeated.Load())
+	stop()
+}
--- a/entry/runner/fake_test.go
+++ b/entry/runner/fake_test.go
@@ -152,6 +152,7 @@
 			{Kind: "staleness-allowance", Name: "age", Body: []byte(allowance)},
 			{Kind: "database", Name: "exact", Body: []byte(database("primary"))},
 			{Kind: "database", Name: "aged", Body: []byte(database("bounded"))},
+			{Kind: "database", Name: "exact-hasty", Body: []byte(`{"group":"g","consistency":"primary","statement-milliseconds":2000,"latency-milliseconds":40}`)},
 			{Kind: "database", Name: "hasty", Body: []byte(`{"group":"g","consistency":"bounded","staleness-allowance":"age","statement-milliseconds":2000,"latency-milliseconds":40}`)},
 			{Kind: "database", Name: "own", Body: []byte(database("session"))},
 		},
--- a/entry/runner/overload_test.go
+++ b/entry/runner/overload_test.go
@@ -14,14 +14,14 @@
 	"trefoilcourse/wire"
 )
 
-// press has callers read without a pause until the test ends.
-func (o *owner) press(callers int) {
+// press has callers read from a database without a pause until the test ends.
+func (o *owner) press(database string, callers int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	for range callers {
 		all.Go(func() {
 			for ctx.Err() == nil {
-				o.execute(read("hasty"))
+				o.execute(read(database))
 				time.Sleep(time.Millisecond)
 			}
 		})
@@ -61,7 +61,7 @@
 		return good(floor.Offset), nil
 	})
 	is.Equal(o.found(), wire.PrimaryHealth_PRIMARY_HEALTH_GOOD)
-	o.press(12)
+	o.press("hasty", 12)
 	await := func(wanted wire.PrimaryHealth) {
 		for range 10 {
 			for range 500 {
@@ -77,3 +77,17 @@
 	lags.Store(false)
 	await(wire.PrimaryHealth_PRIMARY_HEALTH_GOOD)
 }
+
+// TestNoReliefForWhatOnlyThePrimaryMayRun: replicas could take none of it, however fresh.
+func TestNoReliefForWhatOnlyThePrimaryMayRun(t *testing.T) {
+	is := is.New(t)
+	o := own(t, func(string, string, session.Position) (runner.Reply, error) {
+		time.Sleep(8 * time.Millisecond)
+		return good(100), nil
+	})
+	o.press("exact-hasty", 12)
+	for range 2000 {
+		is.True(o.found() != wire.PrimaryHealth_PRIMARY_HEALTH_OVERLOADED)
+		time.Sleep(time.Millisecond)
+	}
+}
