control: messages of the agreement wait for no renewal

A heartbeat waited twice: each peer's queue made one call at a time, so one late answer held back the next heartbeats, and in the receiver's loop messages took their turn behind hundreds of renewals.

Change: a peer has up to 32 messages in flight, in order on one connection (protorpc.Client.Start); the loop takes messages of the agreement before all other calls.

--- /dev/null
+++ b/control/export_test.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"trefoilcourse/wire"
+	"trefoilcourse/wire/protorpc"
+)
+
+// RunInLoop runs f in the loop, before other calls if it belongs to the agreement.
+func (s *Server) RunInLoop(agreement bool, f func()) {
+	s.prepare()
+	calls := s.calls
+	if agreement {
+		calls = s.agreementCalls
+	}
+	s.runThrough(context.Background(), calls, func(time.Time) { f() })
+}
+
+// QueuedCalls returns how many calls of the agreement and how many others wait for the loop.
+func (s *Server) QueuedCalls() (agreement, others int) { return len(s.agreementCalls), len(s.calls) }
+
+// SendToPeer sends messages to an address until ctx ends.
+func SendToPeer(ctx context.Context, address string, messages []*wire.AgreementMessage) {
+	p := newPeer(&protorpc.Client{Address: address})
+	for _, m := range messages {
+		p.queue <- m
+	}
+	p.run(ctx)
+}
--- a/control/peers.go
+++ b/control/peers.go
@@ -15,7 +15,10 @@
 )
 
 const (
-	peerQueue    = 256
+	peerQueue = 256
+	// maxPeerCalls is how many messages to a peer may be in flight, the heartbeats of several election
+	// timeouts.
+	maxPeerCalls = 32
 	peerTimeout  = 300 * time.Millisecond
 	joinInterval = 250 * time.Millisecond
 	// redirectRefreshInterval is how late a VM without a data folder may learn of a new leader:
@@ -23,11 +26,22 @@
 	redirectRefreshInterval = 500 * time.Millisecond
 )
 
-// peer sends messages to one other control VM, one at a time.
+// peer sends messages to one other control VM in order, without waiting for each other's responses.
 type peer struct {
 	client *protorpc.Client
 	queue  chan *wire.AgreementMessage
-	ended  chan struct{}
+	// slots limits the calls that wait for a response.
+	slots chan struct{}
+	ended chan struct{}
+}
+
+func newPeer(client *protorpc.Client) *peer {
+	return &peer{
+		client: client,
+		queue:  make(chan *wire.AgreementMessage, peerQueue),
+		slots:  make(chan struct{}, maxPeerCalls),
+		ended:  make(chan struct{}),
+	}
 }
 
 func (s *Server) send(ctx context.Context, m *wire.AgreementMessage) {
@@ -41,11 +55,7 @@
 	}
 	p := s.peers[address]
 	if p == nil {
-		p = &peer{
-			client: &protorpc.Client{Address: address, Dialer: s.Dialer, Traffic: &s.traffic},
-			queue:  make(chan *wire.AgreementMessage, peerQueue),
-			ended:  make(chan struct{}),
-		}
+		p = newPeer(&protorpc.Client{Address: address, Dialer: s.Dialer, Traffic: &s.traffic})
 		s.peers[address] = p
 		go p.run(ctx)
 	}
@@ -58,7 +68,12 @@
 
 func (p *peer) run(ctx context.Context) {
 	defer close(p.ended)
-	defer p.client.Close()
+	defer func() {
+		p.client.Close()
+		for range maxPeerCalls {
+			p.slots <- struct{}{}
+		}
+	}()
 	for {
 		select {
 		case <-ctx.Done():
@@ -71,9 +86,23 @@
 
 // call sends one message; errors are ignored, since the protocol tolerates lost messages.
 func (p *peer) call(ctx context.Context, m *wire.AgreementMessage) {
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	_ = p.client.Call(ctx, "Agreement.Step", m, &wire.Empty{})
+	wait, err := p.client.Start(ctx, "Agreement.Step", m, &wire.Empty{})
+	if err != nil {
+		cancel()
+		<-p.slots
+		return
+	}
+	go func() {
+		defer cancel()
+		_ = wait()
+		<-p.slots
+	}()
 }
 
 func (s *Server) memberAddress(key string) string {
--- a/control/server.go
+++ b/control/server.go
@@ -73,6 +73,8 @@
 
 	once  sync.Once
 	calls chan func(now time.Time)
+	// agreementCalls run before calls, so that renewals never delay heartbeats and votes.
+	agreementCalls chan func(now time.Time)
 	// loopDone is closed when the loop has ended and accepts no more calls.
 	loopDone chan struct{}
 	traffic  protorpc.Traffic
@@ -110,6 +112,7 @@
 func (s *Server) prepare() {
 	s.once.Do(func() {
 		s.calls = make(chan func(now time.Time), 256)
+		s.agreementCalls = make(chan func(now time.Time), 256)
 		s.saveResult = make(chan error, 1)
 		s.loopDone = make(chan struct{})
 		s.metrics = newMetrics(s.Settings.VM)
@@ -246,10 +249,18 @@
 			return trace.Wrap(err)
 		}
 		select {
+		case call := <-s.agreementCalls:
+			call(clock.Now())
+			continue
+		default:
+		}
+		select {
 		case err := <-s.saveResult:
 			if err := s.handleSaveResult(ctx, err); err != nil {
 				return trace.Wrap(err)
 			}
+		case call := <-s.agreementCalls:
+			call(clock.Now())
 		case <-ctx.Done():
 			return nil
 		case next := <-s.Reload:
@@ -267,13 +278,18 @@
 // ended first.
 func (s *Server) runInLoop(ctx context.Context, f func(now time.Time)) bool {
 	s.prepare()
+	return s.runThrough(ctx, s.calls, f)
+}
+
+// runThrough is runInLoop for a given queue of calls.
+func (s *Server) runThrough(ctx context.Context, calls chan<- func(now time.Time), f func(now time.Time)) bool {
 	done := make(chan struct{})
 	call := func(now time.Time) {
 		f(now)
 		close(done)
 	}
 	select {
-	case s.calls <- call:
+	case calls <- call:
 	case <-s.loopDone:
 		return false
 	case <-ctx.Done():
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -22,22 +22,37 @@
 	return log
 }
 
-// start runs a single control VM and returns its address.
-func start(t *testing.T) (address string, ctx context.Context, stop func()) {
+// newServer returns a single control VM.
+func newServer(t *testing.T) *control.Server {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	address = listener.Addr().String()
-	server := &control.Server{
+	address := listener.Addr().String()
+	return &control.Server{
 		Settings: control.Settings{VM: "c1", Listen: address, DataFolder: t.TempDir(), Peers: map[string]string{"c1": address}},
 		Listener: listener, Log: quiet(),
 	}
+}
+
+// run runs a control VM until stop.
+func run(t *testing.T, server *control.Server) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Run(ctx) }()
-	return address, ctx, func() {
+	return func() {
+		cancel()
+		is.New(t).NoErr(<-ended)
+	}
+}
+
+// start runs a single control VM and returns its address; ctx ends with it.
+func start(t *testing.T) (address string, ctx context.Context, stop func()) {
+	server := newServer(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := run(t, server)
+	return server.Settings.Listen, ctx, func() {
 		cancel()
-		is.NoErr(<-ended)
+		end()
 	}
 }
 
--- a/control/service.go
+++ b/control/service.go
@@ -49,7 +49,8 @@
 
 // Step passes a message of the agreement protocol to the node.
 func (a *agreementService) Step(m *wire.AgreementMessage, _ *wire.Empty) error {
-	if !a.s.runInLoop(context.Background(), func(now time.Time) { a.s.step(now, m) }) {
+	a.s.prepare()
+	if !a.s.runThrough(context.Background(), a.s.agreementCalls, func(now time.Time) { a.s.step(now, m) }) {
 		return errStopping
 	}
 	return nil
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -111,7 +111,7 @@
 		s.links = map[string]*link{}
 	}
 	if s.links[address] == nil {
-		s.links[address] = &link{client: protorpc.Client{Address: address, Dialer: s.Dialer, KeepConnOnCancel: true}}
+		s.links[address] = &link{client: protorpc.Client{Address: address, Dialer: s.Dialer, KeepConnOnTimeout: true}}
 	}
 	return s.links[address]
 }
--- a/wire/protorpc/client.go
+++ b/wire/protorpc/client.go
@@ -19,7 +19,8 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Client calls one process and reconnects after a connection has failed or a call has timed out.
+// Client calls one process and reconnects after a connection has failed or a call has timed out. A
+// call that is canceled leaves the connection open, since nothing says that it has failed.
 type Client struct {
 	// Address is the peer's host and port.
 	Address string
@@ -27,21 +28,35 @@
 	Dialer Dialer
 	// Traffic counts the bytes read and written; nil disables counting.
 	Traffic *Traffic
-	// KeepConnOnCancel keeps the connection open for other calls when the context of one ends.
-	KeepConnOnCancel bool
+	// KeepConnOnTimeout keeps the connection open for other calls when one times out.
+	KeepConnOnTimeout bool
 
 	mu     sync.Mutex
 	client *rpc.Client
 }
 
-// Call makes one call. If ctx ends first it returns an error and, without KeepConnOnCancel, closes
-// the connection.
+// Call makes one call. If the deadline of ctx passes first it returns an error and, without
+// KeepConnOnTimeout, closes the connection.
 func (c *Client) Call(ctx context.Context, method string, request, response proto.Message) error {
+	wait, err := c.Start(ctx, method, request, response)
+	if err != nil {
+		return err
+	}
+	return wait()
+}
+
+// Start sends a request and returns a function that waits for its response as Call does. Requests
+// that one goroutine starts arrive in their order, without waiting for each other's responses.
+func (c *Client) Start(ctx context.Context, method string, request, response proto.Message) (wait func() error, err error) {
 	client, err := c.connect(ctx)
 	if err != nil {
-		return fmt.Errorf("%w to %s: %w", ErrNotConnected, c.Address, err)
+		return nil, fmt.Errorf("%w to %s: %w", ErrNotConnected, c.Address, err)
 	}
 	call := client.Go(method, request, response, make(chan *rpc.Call, 1))
+	return func() error { return c.wait(ctx, client, call) }, nil
+}
+
+func (c *Client) wait(ctx context.Context, client *rpc.Client, call *rpc.Call) error {
 	select {
 	case <-call.Done:
 		if isConnectionError(call.Error) {
@@ -49,10 +64,10 @@
 		}
 		return call.Error
 	case <-ctx.Done():
-		if !c.KeepConnOnCancel {
+		if !c.KeepConnOnTimeout && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.drop(client)
 		}
-		return fmt.Errorf("call %s at %s: %w", method, c.Address, ctx.Err())
+		return fmt.Errorf("call %s at %s: %w", call.ServiceMethod, c.Address, ctx.Err())
 	}
 }
 
--- a/wire/protorpc/protorpc_test.go
+++ b/wire/protorpc/protorpc_test.go
@@ -78,6 +78,35 @@
 	is.NoErr(c.Call(context.Background(), "Echo.Echo", &wire.Member{Vm: "e1"}, &wire.Member{}))
 }
 
+// TestCanceledCallKeepsConnection checks that giving up a call that has not timed out costs no new
+// connection.
+func TestCanceledCallKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	address, e := serve(t)
+	defer close(e.release)
+	dialer := &countingDialer{}
+	c := &protorpc.Client{Address: address, Dialer: dialer}
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	wait, err := c.Start(ctx, "Echo.Echo", &wire.Member{Vm: "slow"}, &wire.Member{})
+	is.NoErr(err)
+	cancel()
+	is.True(errors.Is(wait(), context.Canceled))
+	is.NoErr(c.Call(context.Background(), "Echo.Echo", &wire.Member{Vm: "e1"}, &wire.Member{}))
+	is.Equal(dialer.dials, 1)
+}
+
+type countingDialer struct {
+	net.Dialer
+	dials int
+}
+
+// DialContext counts the connections.
+func (d *countingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d.dials++
+	return d.Dialer.DialContext(ctx, network, address)
+}
+
 type silent struct {
 	io.Reader
 	io.Writer
