directory: what a VM has outlives the leader, the rest is paced

Cause: each new control leader sent the whole directory to every entry VM at once, since revisions were of its term; 300 VMs in a list that names 300 VMs are more than the leader's 100 Mbit/s carry in a second.

Change: coord/directory lists only the VMs that own groups or did so lately. A VM tells a leader of a new term the digests of the 16 parts that it holds and gets the parts that differ; one with nothing gets a packed copy. Both leave at half of the link at most (link-megabits in the settings of control VMs), half of that again for each change of leader of the last 10 s. The leader says when to renew next, so that a thousand renewals a second are asked for, and how fast to look for the next leader; searches back off with jitter. Cancel requests ask the leader for the VM of a key, since the directory no longer lists every VM.

--- a/control/export_test.go
+++ b/control/export_test.go
@@ -8,6 +8,15 @@
 	"trefoilcourse/wire/protorpc"
 )
 
+// TermHistory exports termHistory.
+type TermHistory = termHistory
+
+// Observe exports observe.
+func (h *termHistory) Observe(now time.Time, term uint64) { h.observe(now, term) }
+
+// Restarts exports restarts.
+func (h *termHistory) Restarts(now time.Time) int { return h.restarts(now) }
+
 // RunInLoop runs f in the loop, before other calls if it belongs to the agreement.
 func (s *Server) RunInLoop(agreement bool, f func()) {
 	s.prepare()
--- a/control/priority_test.go
+++ b/control/priority_test.go
@@ -121,3 +121,19 @@
 	close(peer.release)
 	<-ended
 }
+
+// TestRecentTermsAreCounted checks that only terms of the last seconds before the current one count.
+func TestRecentTermsAreCounted(t *testing.T) {
+	is := is.New(t)
+	var h control.TermHistory
+	now := time.Unix(1000, 0)
+	h.Observe(now, 1)
+	is.Equal(h.Restarts(now), 0)
+	for term := range uint64(4) {
+		now = now.Add(time.Second)
+		h.Observe(now, 2+term)
+		h.Observe(now, 2+term)
+	}
+	is.Equal(h.Restarts(now), 4)
+	is.Equal(h.Restarts(now.Add(time.Minute)), 0)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -12,6 +12,7 @@
 
 	"trefoilcourse/control/internal/disk"
 	"trefoilcourse/coord/clock"
+	"trefoilcourse/coord/directory"
 	"trefoilcourse/coord/leader"
 	"trefoilcourse/coord/raft"
 	"trefoilcourse/coord/roster"
@@ -90,6 +91,7 @@
 	proposedIndex  map[string]uint64
 	inFlight       map[string]bool
 	leadingTerm    uint64
+	terms          termHistory
 	httpDone       chan error
 	hasState       bool
 	// pendingSave are the effects being written; saveResult receives the outcome.
@@ -305,6 +307,7 @@
 
 func (s *Server) tick(ctx context.Context, now time.Time) {
 	s.node.Tick(now)
+	s.terms.observe(now, s.node.Term())
 	if !s.leading(now) {
 		return
 	}
@@ -321,10 +324,12 @@
 	}
 	if s.leadingTerm != s.node.Term() {
 		s.leadingTerm = s.node.Term()
+		s.terms.observe(now, s.leadingTerm)
+		s.leader.Pace = directory.Pace{LinkBytesPerSecond: s.Settings.linkBytesPerSecond(), Restarts: s.terms.restarts(now)}
 		s.leader.StartTerm(now, s.leadingTerm)
 		s.proposedIndex = map[string]uint64{}
 		s.metrics.leaderships.Add(1)
-		s.Log.WithField("term", s.leadingTerm).Info("became leader of the control VMs")
+		s.Log.WithFields(logrus.Fields{"term": s.leadingTerm, "recent-terms": s.leader.Pace.Restarts}).Info("became leader of the control VMs")
 	}
 	return true
 }
--- a/control/service.go
+++ b/control/service.go
@@ -216,6 +216,22 @@
 	return nil
 }
 
+// Members returns the entry VMs with a cancel hash.
+func (c *controlService) Members(r *wire.MembersRequest, answer *wire.MembersResponse) error {
+	s := c.s
+	ok := s.runInLoop(context.Background(), func(now time.Time) {
+		if answer.Leading = s.leading(now); !answer.Leading {
+			answer.LeaderAddress = s.leaderAddress()
+			return
+		}
+		answer.Members = s.leader.MembersByCancelHash(uint16(r.GetCancelHash()))
+	})
+	if !ok {
+		return errStopping
+	}
+	return nil
+}
+
 // Operate handles an operator's request.
 func (c *controlService) Operate(r *wire.OperatorRequest, answer *wire.OperatorResponse) error {
 	s := c.s
--- a/control/settings.go
+++ b/control/settings.go
@@ -28,6 +28,8 @@
 	ToleratedLosses int `json:"tolerated-losses,omitempty"`
 	// LeaseMilliseconds is the lease duration of entry VMs; 0 is 2 s.
 	LeaseMilliseconds int `json:"lease-milliseconds,omitempty"`
+	// LinkMegabits is the rate of this VM's network link in megabits a second; 0 is 100.
+	LinkMegabits float64 `json:"link-megabits,omitempty"`
 	// TLS encrypts connections between the system's processes; nil means plain text.
 	TLS *identity.Files `json:"tls,omitempty"`
 }
@@ -38,6 +40,8 @@
 	maxLeaseMS = 10_000
 	// maxToleratedLosses is what seven voters tolerate, the number of VMs reserved for control.
 	maxToleratedLosses = 3
+	// maxLinkMegabits exceeds any link; it detects a rate given in bits or kilobits.
+	maxLinkMegabits = 1_000_000
 )
 
 // LoadSettings reads and checks a settings file.
@@ -56,6 +60,8 @@
 		return fmt.Errorf("vm is empty; give this control VM a name")
 	case s.LeaseMilliseconds != 0 && (s.LeaseMilliseconds < minLeaseMS || s.LeaseMilliseconds > maxLeaseMS):
 		return fmt.Errorf("lease-milliseconds is %d; use a number from %d to %d", s.LeaseMilliseconds, minLeaseMS, maxLeaseMS)
+	case s.LinkMegabits < 0 || s.LinkMegabits > maxLinkMegabits:
+		return fmt.Errorf("link-megabits is %g; use a number from 0 to %d", s.LinkMegabits, maxLinkMegabits)
 	case s.DataFolder == "" && len(s.Seeds) == 0:
 		return fmt.Errorf("data-folder is empty; name the folder that keeps the log, or list seeds to send everybody on")
 	case s.ToleratedLosses < 0 || s.ToleratedLosses > maxToleratedLosses:
@@ -87,6 +93,9 @@
 	return nil
 }
 
+// linkBytesPerSecond returns the rate of this VM's link, or 0 if it is not specified.
+func (s Settings) linkBytesPerSecond() float64 { return s.LinkMegabits * 1e6 / 8 }
+
 // advertised returns the address at which other control VMs reach this one.
 func (s Settings) advertised() string {
 	if len(s.Seeds) > 0 {
--- a/coord/leader/announced.go
+++ b/coord/leader/announced.go
@@ -95,6 +95,14 @@
 	return g.owners
 }
 
+// formerOwners returns the VMs that own a group no more and may still hold a lease on it.
+func (l *Leader) formerOwners(name string, g *group) []string {
+	if g.failover.Announced {
+		return l.State.Owners(name).GetFormer()
+	}
+	return nil
+}
+
 // acceptAnnouncement updates the server list of an announced group and reports whether the
 // announcement is to be stored. Announcements sent before the stored one, or from an earlier start
 // of the server, are ignored; of two servers at one address, the one that started earlier is removed.
--- a/coord/leader/groups.go
+++ b/coord/leader/groups.go
@@ -16,6 +16,7 @@
 func (l *Leader) Tick(now time.Time) []Action {
 	l.applyConfiguration(now)
 	l.expireMembers(now)
+	l.directory.Tick(now)
 	l.assignOwners(now)
 	if recordedRevision := l.State.GroupRevision(); recordedRevision != l.recordedRevision {
 		l.recordedRevision = recordedRevision
@@ -66,14 +67,14 @@
 		actions = append(actions, l.recordActions(now, name, g)...)
 	}
 	l.updateUnreachable(now, g)
-	l.updateGroupState(name, g)
+	l.updateGroupState(now, name, g)
 	g.dirty = g.failover.State() != promote.Steady || g.failover.Primary().Term == 0 || len(actions) > 0
 	g.nextTick = now.Add(steadyTickInterval)
 	return actions
 }
 
 // updateGroupState updates the group's desired lease state and its state in the directory.
-func (l *Leader) updateGroupState(name string, g *group) {
+func (l *Leader) updateGroupState(now time.Time, name string, g *group) {
 	primary := g.failover.Primary()
 	limit := l.configuration.Groups[name].Connections - len(g.failover.Slots)*controlConnectionsPerServer
 	if g.failover.Announced {
@@ -96,5 +97,5 @@
 			Concurrency: a.GetConcurrency(),
 		})
 	}
-	l.directory.putGroup(groupState)
+	l.directory.PutGroup(now, groupState, l.formerOwners(name, g))
 }
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilcourse/coord/config"
+	"trefoilcourse/coord/directory"
 	"trefoilcourse/coord/lease"
 	"trefoilcourse/coord/promote"
 	"trefoilcourse/coord/session"
@@ -68,6 +69,8 @@
 	Owners int
 	// VM is the leader's own VM, which has less capacity for groups; empty if no entry VM runs there.
 	VM string
+	// Pace limits what a term sends of the directory; it is read by StartTerm.
+	Pace directory.Pace
 
 	term                 uint64
 	started              time.Time
@@ -82,7 +85,7 @@
 	// version in its record until the confirmWithin of InForce has passed since its last renewal.
 	expired   map[string]*member
 	groups    map[string]*group
-	directory directory
+	directory directory.Publisher
 }
 
 // member is an entry VM that renews its leases.
@@ -138,7 +141,7 @@
 	l.members = map[string]*member{}
 	l.expired = map[string]*member{}
 	l.groups = map[string]*group{}
-	l.directory = newDirectory(term)
+	l.directory = directory.Publisher{Epoch: term, Pace: l.Pace}
 	l.applyConfiguration(now)
 }
 
@@ -165,13 +168,13 @@
 			l.groups[name].failover.Slots = g.Slots
 		}
 		l.groups[name].dirty = true
-		l.updateGroupState(name, l.groups[name])
+		l.updateGroupState(now, name, l.groups[name])
 	}
 	for name := range l.groups {
 		if _, ok := l.configuration.Groups[name]; !ok {
 			delete(l.groups, name)
 			l.leases.RevokeGroup(name)
-			l.directory.dropGroup(name)
+			l.directory.DropGroup(now, name)
 		}
 	}
 	l.groupNames = slices.Sorted(maps.Keys(l.groups))
@@ -225,31 +228,17 @@
 	}
 	response.Grants = l.grants(now, m, r)
 	l.leases.MarkReported(r.GetVm())
-	if l.recoveryComplete(now) {
-		l.directory.addChanges(r, response)
-	} else {
-		response.Soon = true
-	}
-	response.Soon = response.Soon || l.primaryChanging(m)
+	l.scheduleRenewal(now, m, r, response)
 	response.Drain = m.drain
 	return response
 }
 
-// primaryChanging reports whether the primary of a group that the VM owns is being changed; callers
-// wait until the VM learns of the next primary.
-func (l *Leader) primaryChanging(m *member) bool {
-	return slices.ContainsFunc(m.owned, func(name string) bool {
-		g := l.groups[name]
-		return g != nil && g.failover.Primary().Term > 0 && g.failover.State() != promote.Steady
-	})
-}
-
 // ReceiveAnnouncement handles a server's announcement that reached the control VMs directly.
 func (l *Leader) ReceiveAnnouncement(now time.Time, a *wire.Announcement) {
 	l.applyConfiguration(now)
 	l.applyAnnouncement(now, a)
 	if g := l.groups[a.GetGroup()]; g != nil {
-		l.updateGroupState(a.GetGroup(), g)
+		l.updateGroupState(now, a.GetGroup(), g)
 	}
 }
 
@@ -370,6 +359,10 @@
 	return nil
 }
 
+func unknownGroupError(name string) error {
+	return fmt.Errorf("database-group %q does not exist in the configuration in force", name)
+}
+
 // ForceFailover starts a change of primary at an operator's request.
 func (l *Leader) ForceFailover(now time.Time, name, slot string, acceptLoss bool) error {
 	l.applyConfiguration(now)
--- a/coord/leader/members.go
+++ b/coord/leader/members.go
@@ -34,7 +34,7 @@
 		Vm: r.GetVm(), FailureDomain: r.GetFailureDomain(),
 		LinkAddress: r.GetLinkAddress(), Draining: r.GetDraining(),
 	}
-	l.directory.putMember(m.directoryEntry)
+	l.directory.PutMember(m.directoryEntry)
 	return m
 }
 
@@ -47,7 +47,7 @@
 		if now.Sub(m.renewed) > l.LeaseDuration+memberGrace {
 			delete(l.members, vm)
 			l.expired[vm] = m
-			l.directory.dropMember(vm)
+			l.directory.DropMember(vm)
 			l.ownersOutdated = true
 		}
 	}
@@ -81,7 +81,7 @@
 			domains[vm] = l.members[vm].directoryEntry.GetFailureDomain()
 		}
 		g.failover.SetOwners(domains)
-		l.updateGroupState(name, g)
+		l.updateGroupState(now, name, g)
 	}
 }
 
--- a/coord/leader/status.go
+++ b/coord/leader/status.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"trefoilcourse/coord/cancel"
 	"trefoilcourse/wire"
 )
 
@@ -21,10 +22,19 @@
 	for _, name := range slices.Sorted(maps.Keys(l.groups)) {
 		g := l.groups[name]
 		status := &wire.GroupStatus{Phase: g.failover.State(), Note: g.failover.Note()}
-		if groupState := l.directory.groups[name]; groupState != nil {
-			status.State = groupState.value
-		}
+		status.State = l.directory.Group(name)
 		s.Groups = append(s.Groups, status)
 	}
 	return s
 }
+
+// MembersByCancelHash returns the entry VMs that are up and have the hash, sorted by name.
+func (l *Leader) MembersByCancelHash(hash uint16) []*wire.Member {
+	var found []*wire.Member
+	for _, vm := range slices.Sorted(maps.Keys(l.members)) {
+		if cancel.Hash(vm) == hash {
+			found = append(found, l.members[vm].directoryEntry)
+		}
+	}
+	return found
+}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -5,13 +5,13 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/binary"
-	"hash/fnv"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"trefoilcourse/coord/cancel"
 	"trefoilcourse/entry/internal/metrics"
 	"trefoilcourse/entry/internal/view"
 	"trefoilcourse/entry/link"
@@ -26,8 +26,10 @@
 	FailureDomain string
 	View          *view.View
 	Links         *link.Pool
-	Metrics       *metrics.Metrics
-	Log           logrus.FieldLogger
+	// Members returns the entry VMs with a cancel hash.
+	Members func(ctx context.Context, hash uint16) ([]*wire.Member, error)
+	Metrics *metrics.Metrics
+	Log     logrus.FieldLogger
 	// TLS is offered to callers that ask for it; nil refuses TLS.
 	TLS *tls.Config
 
@@ -77,8 +79,7 @@
 		var random [6]byte
 		_, _ = rand.Read(random[:])
 		c.processID = binary.BigEndian.Uint32(random[:])
-		c.secret = binary.BigEndian.AppendUint16(nil, vmHash(s.VM))
-		c.secret = append(c.secret, random[4:]...)
+		c.secret = cancel.NewSecret(s.VM, binary.BigEndian.Uint16(random[4:]))
 		if s.sessions[c.processID] == nil {
 			s.sessions[c.processID] = c
 			return true
@@ -92,45 +93,33 @@
 	delete(s.sessions, c.processID)
 }
 
-// vmHash identifies a VM in the cancel key, so that any VM can forward a cancel request to it.
-func vmHash(vm string) uint16 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(vm))
-	sum := h.Sum32()
-	return uint16(sum>>16) ^ uint16(sum)
-}
-
-// cancelKey packs a process id and its secret into one number; 0 for a malformed secret.
-func cancelKey(processID uint32, secret []byte) uint64 {
-	if len(secret) != 4 {
-		return 0
-	}
-	return uint64(processID)<<32 | uint64(binary.BigEndian.Uint32(secret))
-}
-
 // Cancel cancels the running statement of the session that has the key; unknown keys are ignored.
-func (s *Server) Cancel(key uint64) {
+func (s *Server) Cancel(key cancel.Key) {
 	s.mu.Lock()
-	c := s.sessions[uint32(key>>32)]
+	c := s.sessions[key.ProcessID()]
 	s.mu.Unlock()
-	if c != nil && cancelKey(c.processID, c.secret) == key {
+	if c != nil && cancel.KeyOf(c.processID, c.secret) == key {
 		c.cancel()
 	}
 }
 
 // forwardCancel sends a cancel request to each VM whose hash the key holds.
-func (s *Server) forwardCancel(ctx context.Context, key uint64) {
-	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
-	defer cancel()
-	hash := uint16(key >> 16)
-	if hash == vmHash(s.VM) {
+func (s *Server) forwardCancel(ctx context.Context, key cancel.Key) {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	if key.Hash() == cancel.Hash(s.VM) {
 		s.Cancel(key)
 	}
-	for _, m := range s.View.Members() {
-		if m.GetVm() == s.VM || vmHash(m.GetVm()) != hash {
+	members, err := s.Members(ctx, key.Hash())
+	if err != nil {
+		s.Log.WithError(err).WithField("vm-hash", key.Hash()).Warn("cancel request not forwarded")
+		return
+	}
+	for _, m := range members {
+		if m.GetVm() == s.VM {
 			continue
 		}
-		stream, err := s.Links.OpenStream(ctx, m.GetLinkAddress(), &wire.Open{CancelKey: key})
+		stream, err := s.Links.OpenStream(ctx, m.GetLinkAddress(), &wire.Open{CancelKey: uint64(key)})
 		if err == nil {
 			_ = stream.Close()
 		}
--- a/entry/caller/startup.go
+++ b/entry/caller/startup.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"trefoilcourse/coord/cancel"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/entry/internal/frame"
 	"trefoilcourse/entry/internal/outcome"
@@ -92,7 +93,7 @@
 
 func (c *connection) cancelRequest(ctx context.Context, body []byte) {
 	if len(body) == 8 {
-		key := cancelKey(binary.BigEndian.Uint32(body), body[4:])
+		key := cancel.KeyOf(binary.BigEndian.Uint32(body), body[4:])
 		c.server.forwardCancel(ctx, key)
 	}
 }
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// RenewInterval is the longest time between two renewals.
+	// RenewInterval is the time between two renewals if the control leader does not give it.
 	RenewInterval = 500 * time.Millisecond
 	// minRenewInterval is the shortest time between two renewals.
 	minRenewInterval = 50 * time.Millisecond
+	maxAnnouncements = 4096
 	// renewalsPerLease allows for two failed renewals before a lease expires.
 	renewalsPerLease = 4
-	maxAnnouncements = 4096
 	// changesTimeout allows for a configuration of thousands of objects over a slow, busy link.
 	changesTimeout = 1500 * time.Millisecond
 )
@@ -64,8 +64,7 @@
 	leader           string
 	failures         uint64
 	leaderLost       bool
-	// interval is the time between two renewals, a fraction of the last granted lease.
-	interval time.Duration
+	search           searchTimer
 	// fetching is set while fetchChanges runs; fetchResult receives its result.
 	fetching    bool
 	fetchResult chan error
@@ -130,15 +129,8 @@
 func (c *Client) Run(ctx context.Context) error {
 	defer c.close()
 	for {
-		urgent := c.renew(ctx)
+		wait := c.renew(ctx)
 		c.finishFetch()
-		wait := c.interval
-		if wait == 0 {
-			wait = RenewInterval
-		}
-		if urgent {
-			wait = 2 * minRenewInterval
-		}
 		if !c.waitForRenewal(ctx, wait) {
 			return nil
 		}
@@ -174,19 +166,20 @@
 	return true
 }
 
-// renew makes one renewal and reports whether the next one is urgent.
-func (c *Client) renew(ctx context.Context) bool {
+// renew makes one renewal and returns how long to wait until the next.
+func (c *Client) renew(ctx context.Context) time.Duration {
 	request, sent := c.newRequest()
 	urgent := c.Reporter.Report(clock.Now(), request)
 	start := clock.Now()
 	response, err := c.sendRenewal(ctx, request)
 	c.recordResult(err, clock.Now().Sub(start))
 	if err != nil {
-		return true
+		return c.search.next()
 	}
+	c.search.found(time.Duration(response.GetSearchMilliseconds()) * time.Millisecond)
 	previous := c.View.Version()
 	if !c.View.ApplyRenewal(start, response) {
-		return true
+		return c.search.next()
 	}
 	if version := c.View.Version(); version != previous {
 		c.logConfiguration(previous, len(response.GetObjects()), 0, start)
@@ -196,12 +189,25 @@
 		c.fetching = true
 		go func() { c.fetchResult <- c.fetchChanges(ctx) }()
 	}
-	granted := time.Duration(response.GetLeaseMilliseconds()) * time.Millisecond
-	c.interval = min(RenewInterval, max(2*minRenewInterval, granted/renewalsPerLease))
 	if response.GetDrain() {
 		c.Drain()
 	}
-	return urgent || response.GetSoon()
+	if urgent {
+		return 2 * minRenewInterval
+	}
+	return renewInterval(response)
+}
+
+// renewInterval returns when to renew after an answer; one of an earlier version gives no time.
+func renewInterval(response *wire.RenewResponse) time.Duration {
+	if interval := time.Duration(response.GetRenewMilliseconds()) * time.Millisecond; interval > 0 {
+		return max(minRenewInterval, interval)
+	}
+	if response.GetSoon() {
+		return 2 * minRenewInterval
+	}
+	granted := time.Duration(response.GetLeaseMilliseconds()) * time.Millisecond
+	return min(RenewInterval, max(2*minRenewInterval, granted/renewalsPerLease))
 }
 
 // recordResult counts a failed renewal, and logs when contact with the leader is lost or restored.
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -1,13 +1,13 @@
 package view
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/config"
+	"trefoilcourse/coord/directory"
 	"trefoilcourse/coord/lease"
 	"trefoilcourse/wire"
 	"trefoilcourse/wire/packed"
@@ -27,14 +27,15 @@
 	// Clock returns the time by which leases end; nil means clock.Now.
 	Clock func() time.Time
 
-	mu               sync.Mutex
-	holder           lease.Holder
-	set              *config.Set
-	version          uint64
-	epoch            uint64
-	revision         uint64
-	members          map[string]*wire.Member
-	groups           map[string]*wire.GroupState
+	mu        sync.Mutex
+	holder    lease.Holder
+	set       *config.Set
+	version   uint64
+	epoch     uint64
+	revision  uint64
+	directory directory.Contents
+	// controlTerm is that of the last applied renewal.
+	controlTerm      uint64
 	controlAddresses []string
 	changed          chan struct{}
 	// outdatedSince is when a newer configuration was first known to be in force, or zero.
@@ -44,8 +45,7 @@
 // New returns an empty view.
 func New() *View {
 	return &View{
-		set: config.NewSet(), members: map[string]*wire.Member{},
-		groups: map[string]*wire.GroupState{}, changed: make(chan struct{}),
+		set: config.NewSet(), changed: make(chan struct{}),
 	}
 }
 
@@ -75,10 +75,15 @@
 	request.ConfigurationVersion = v.version
 	request.DirectoryEpoch = v.epoch
 	request.DirectoryRevision = v.revision
+	request.TakesParts = true
+	if v.epoch != v.controlTerm && v.epoch > 0 {
+		request.DirectoryDigests = v.directory.Digests()
+	}
 }
 
 // ApplyRenewal applies the response to a renewal that was sent at the given time. It reports false for
-// a response from an earlier leader than one already heard, and changes nothing.
+// a response from an earlier leader than one already heard, which changes nothing, and for one whose
+// directory does not decode.
 func (v *View) ApplyRenewal(sentAt time.Time, response *wire.RenewResponse) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -94,12 +99,12 @@
 		v.applyObjects(response.GetConfigurationVersion(), response.GetConfigurationWhole(), response.GetObjects())
 	}
 	v.updateOutdatedSince(sentAt, response.GetConfigurationVersion())
-	v.applyDirectory(response)
+	applied := v.applyDirectory(response)
 	if addresses := response.GetControlAddresses(); len(addresses) > 0 {
 		v.controlAddresses = addresses
 	}
 	v.notify()
-	return true
+	return applied
 }
 
 // ApplyChanges applies changes that were requested separately from a renewal, and returns the number of
@@ -137,30 +142,17 @@
 	}
 }
 
-func (v *View) applyDirectory(response *wire.RenewResponse) {
-	if response.GetDirectoryEpoch() == 0 {
-		return
-	}
-	if response.GetDirectoryWhole() {
-		clear(v.members)
-		clear(v.groups)
-	}
-	for _, m := range response.GetMembers() {
-		if m.GetGone() {
-			delete(v.members, m.GetVm())
-		} else {
-			v.members[m.GetVm()] = m
-		}
+// applyDirectory applies directory changes. It reports false for ones that do not decode; the next
+// renewal then asks for the same again.
+func (v *View) applyDirectory(response *wire.RenewResponse) bool {
+	v.controlTerm = response.GetControlTerm()
+	if v.directory.Apply(response) != nil {
+		return false
 	}
-	for _, g := range response.GetGroups() {
-		if g.GetGone() {
-			delete(v.groups, g.GetGroup())
-		} else {
-			v.groups[g.GetGroup()] = g
-		}
+	if response.GetDirectoryEpoch() > 0 {
+		v.epoch, v.revision = response.GetDirectoryEpoch(), response.GetDirectoryRevision()
 	}
-	v.epoch = response.GetDirectoryEpoch()
-	v.revision = response.GetDirectoryRevision()
+	return true
 }
 
 // Confirmed reports whether the configuration and the directory may be used.
@@ -200,7 +192,7 @@
 func (v *View) Group(name string) *wire.GroupState {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.groups[name]
+	return v.directory.Group(name)
 }
 
 // GroupConfig returns a group's configuration object and resolved read policy.
@@ -235,22 +227,11 @@
 	return name, objective, ok
 }
 
-// Member returns an entry VM that is up, or nil.
+// Member returns an entry VM that owns groups or did so lately, or nil.
 func (v *View) Member(vm string) *wire.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.members[vm]
-}
-
-// Members returns the entry VMs that are up, sorted by name.
-func (v *View) Members() []*wire.Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	members := make([]*wire.Member, 0, len(v.members))
-	for _, vm := range slices.Sorted(maps.Keys(v.members)) {
-		members = append(members, v.members[vm])
-	}
-	return members
+	return v.directory.Member(vm)
 }
 
 // AckTerm returns the term in which this VM may acknowledge writes of a group, or 0.
--- a/entry/internal/view/view_test.go
+++ b/entry/internal/view/view_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"trefoilcourse/coord/directory"
 	"trefoilcourse/entry/internal/view"
 	"trefoilcourse/wire"
 	"trefoilcourse/wire/packed"
@@ -92,3 +93,34 @@
 	is.True(err != nil)
 	is.Equal(v.Version(), uint64(1))
 }
+
+// TestDigestsGoToTheNextLeader checks that a VM tells a leader of a new term what it holds, once, and
+// asks again for a directory that does not decode.
+func TestDigestsGoToTheNextLeader(t *testing.T) {
+	is := is.New(t)
+	v := view.New()
+	digests := func() int {
+		request := &wire.RenewRequest{}
+		v.FillVersions(request)
+		return len(request.GetDirectoryDigests())
+	}
+	response := renewalResponse(1)
+	response.Groups = []*wire.GroupState{{Group: "g", Term: 1}}
+	is.True(v.ApplyRenewal(start, response))
+	is.Equal(digests(), 0)
+
+	is.True(v.ApplyRenewal(start, &wire.RenewResponse{Accepted: true, ControlTerm: 2, ConfigurationVersion: 1}))
+	is.True(v.Group("g") != nil) // still held
+	is.Equal(digests(), directory.Parts)
+
+	broken := renewalResponse(1)
+	broken.ControlTerm, broken.DirectoryEpoch, broken.DirectoryPacked = 2, 2, []byte("no such thing")
+	is.True(!v.ApplyRenewal(start, broken))
+	is.True(v.Group("g") != nil)
+	is.Equal(digests(), directory.Parts)
+
+	whole := renewalResponse(1)
+	whole.ControlTerm, whole.DirectoryEpoch, whole.DirectoryParts = 2, 2, nil
+	is.True(v.ApplyRenewal(start, whole))
+	is.Equal(digests(), 0)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"trefoilcourse/coord/cancel"
 	"trefoilcourse/entry/announce"
 	"trefoilcourse/entry/caller"
 	"trefoilcourse/entry/control"
@@ -181,7 +182,7 @@
 	s.client.Reporter = s.owner
 	s.callers = &caller.Server{
 		VM: s.Settings.VM, FailureDomain: s.Settings.FailureDomain, View: s.view,
-		Links: s.links, Metrics: &s.metrics, Log: log, TLS: s.callerTLS(),
+		Links: s.links, Members: s.client.Members, Metrics: &s.metrics, Log: log, TLS: s.callerTLS(),
 	}
 }
 
@@ -247,7 +248,7 @@
 // handle serves a stream from another entry VM: units of work or a cancel request.
 func (s *Server) handle(ctx context.Context, open *wire.Open, stream net.Conn) {
 	if key := open.GetCancelKey(); key != 0 {
-		s.callers.Cancel(key)
+		s.callers.Cancel(cancel.Key(key))
 		_ = stream.Close()
 		return
 	}
