raft: the former leader leads again at once

Cause: after a restart no voter votes for an election timeout (300 ms on the users' platform), since a leader's lease may depend on it.

Change: a VM syncs that it was elected in its term and says so in its requests for votes while it knows no later term; a voter of that term answers at once, since no other VM can have led it. The VM asks at once after a restart. The random test of the agreement gives each VM's clock an offset, which it claimed and never did.

Tests: TestFormerLeaderLeadsAgainAtOnce, TestFormerLeaderOfEarlierTermWaits, TestVoteForFormerLeader, TestLedTermEndsWithTheTerm, TestNewVMVotesAfterTimeout.

--- a/coord/raft/cluster_test.go
+++ b/coord/raft/cluster_test.go
@@ -11,7 +11,11 @@
 	"trefoilcourse/wire"
 )
 
-const step = 10 * time.Millisecond
+const (
+	step = 10 * time.Millisecond
+	// maxClockSkew is the largest difference between two VMs' clocks, far more than any timeout.
+	maxClockSkew = time.Hour
+)
 
 // disk holds the synced state, which is all that survives a crash.
 type disk struct {
@@ -92,7 +96,7 @@
 }
 
 func (c *cluster) addMember(key string, d *disk) *member {
-	m := &member{key: key, disk: d, up: true}
+	m := &member{key: key, disk: d, up: true, clockSkew: time.Duration(c.random.Int64N(int64(maxClockSkew)))}
 	c.members[key] = m
 	c.keys = append(c.keys, key)
 	c.start(m)
@@ -103,7 +107,7 @@
 	c.starts++
 	m.node = &raft.Node{Self: m.key, Seed: uint64(c.starts)}
 	m.applied = nil
-	m.node.Restart(c.now, m.disk.persistentState())
+	m.node.Restart(c.now.Add(m.clockSkew), m.disk.persistentState())
 	m.up = true
 	c.processEffects(m, false)
 }
--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -19,11 +19,15 @@
 		// ignore a pre-vote; repeating it disrupts no one.
 		n.electionDeadline = now.Add(n.ElectionTimeout/preVoteRetryDivisor + time.Duration(n.random.Int64N(int64(n.ElectionTimeout/preVoteRetryDivisor))))
 	}
-	term := n.term + 1
+	term, ledTerm := n.term+1, uint64(0)
+	if n.led {
+		ledTerm = n.term
+	}
 	kind := wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE
 	if role == Candidate {
 		n.term = term
 		n.vote = n.Self
+		n.led = false
 		n.persistTermAndVote()
 		kind = wire.AgreementKind_AGREEMENT_KIND_VOTE
 	}
@@ -33,7 +37,7 @@
 		}
 		n.send(&wire.AgreementMessage{
 			Kind: kind, Term: term, To: key,
-			LogIndex: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+			LogIndex: n.log.lastIndex(), LogTerm: n.log.lastTerm(), LedTerm: ledTerm,
 		})
 	}
 	n.countVotes(now)
@@ -61,6 +65,7 @@
 	if term > n.term {
 		n.term = term
 		n.vote = ""
+		n.led = false
 		n.persistTermAndVote()
 	}
 	n.role = Follower
@@ -73,6 +78,8 @@
 	n.role = Leader
 	n.leader = n.Self
 	n.leaderSince = now
+	n.led = true
+	n.persistTermAndVote()
 	n.lastTick = now
 	n.round = 0
 	n.roundSentAt = map[uint64]time.Time{}
@@ -100,7 +107,7 @@
 // stepVote handles a request for a vote or a pre-vote.
 func (n *Node) stepVote(now time.Time, m *wire.AgreementMessage) {
 	preVote := m.GetKind() == wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE
-	if n.hasActiveLeader(now) {
+	if n.hasActiveLeader(now) && !n.isFormerLeader(m) {
 		return
 	}
 	if !preVote && m.GetTerm() > n.term {
@@ -142,6 +149,13 @@
 	return now.Sub(n.lastLeaderContact) < n.ElectionTimeout
 }
 
+// isFormerLeader reports whether the requesting VM led this node's term and leads no more, so that no
+// leader's lease depends on this node: its term had no other leader, and the leases of earlier terms
+// had ended when that one was elected.
+func (n *Node) isFormerLeader(m *wire.AgreementMessage) bool {
+	return m.GetLedTerm() > 0 && m.GetLedTerm() == n.term
+}
+
 func (n *Node) isLogUpToDate(m *wire.AgreementMessage) bool {
 	if m.GetLogTerm() != n.log.lastTerm() {
 		return m.GetLogTerm() > n.log.lastTerm()
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -67,9 +67,11 @@
 
 	random *rand.Rand
 
-	role         Role
-	term         uint64
-	vote         string
+	role Role
+	term uint64
+	vote string
+	// led is set once this node has been elected in the term.
+	led          bool
 	leader       string
 	log          entryLog
 	syncedIndex  uint64
@@ -95,7 +97,8 @@
 }
 
 // Restart starts the node from its persistent state. The node grants no vote for one election
-// timeout, since a leader's lease may depend on contact from before the restart.
+// timeout, since a leader's lease may depend on contact from before the restart, but to the VM that
+// led its term. If that was this node, it asks for votes at once.
 func (n *Node) Restart(now time.Time, stored PersistentState) {
 	if n.ElectionTimeout == 0 {
 		n.ElectionTimeout = defaultElectionTimeout
@@ -107,6 +110,7 @@
 	n.snapshotMembership = &wire.Membership{}
 	n.term = stored.TermAndVote.GetTerm()
 	n.vote = stored.TermAndVote.GetVote()
+	n.led = stored.TermAndVote.GetLed()
 	if s := stored.Snapshot; s != nil {
 		n.log.reset(s.GetIndex(), s.GetTerm())
 		n.snapshotMembership = s.GetMembership()
@@ -119,6 +123,9 @@
 	n.reloadMembership()
 	n.lastLeaderContact = now
 	n.resetElectionDeadline(now)
+	if n.led {
+		n.electionDeadline = now
+	}
 }
 
 // Role returns the node's role.
@@ -321,7 +328,7 @@
 }
 
 func (n *Node) persistTermAndVote() {
-	n.effects.TermAndVote = &wire.HardState{Term: n.term, Vote: n.vote}
+	n.effects.TermAndVote = &wire.HardState{Term: n.term, Vote: n.vote, Led: n.led}
 }
 
 // resetElectionDeadline staggers the voters' deadlines in the order of their keys, so that two of
--- a/coord/raft/node_test.go
+++ b/coord/raft/node_test.go
@@ -154,3 +154,81 @@
 	is.Equal(n.LeaderKey(), "a/0")
 	is.True(!n.HasActiveLeader(now))
 }
+
+// TestVoteForFormerLeader checks that a VM which hears a leader votes for nobody, but for the VM that
+// led its own term.
+func TestVoteForFormerLeader(t *testing.T) {
+	for _, c := range []struct {
+		ledTerm uint64
+		answers int
+	}{{0, 0}, {4, 0}, {5, 1}, {6, 0}} {
+		is := is.New(t)
+		d := &disk{snapshot: &wire.LogSnapshot{Membership: threeVoters()}}
+		now := time.Unix(1000, 0)
+		n := &raft.Node{Self: "a/0"}
+		n.Restart(now, d.persistentState())
+		n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND, Term: 5, From: "b/0", To: "a/0"})
+		n.TakeEffects()
+		n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_VOTE, Term: 7, From: "c/0", To: "a/0", LedTerm: c.ledTerm})
+		is.Equal(len(takeVoteAnswers(n, d)), c.answers)
+	}
+}
+
+// TestNewVMVotesAfterTimeout checks that a VM in no term yet, which no VM can have led,
+// waits like any other.
+func TestNewVMVotesAfterTimeout(t *testing.T) {
+	is := is.New(t)
+	d := &disk{snapshot: &wire.LogSnapshot{Membership: threeVoters()}}
+	now := time.Unix(1000, 0)
+	n := &raft.Node{Self: "a/0"}
+	n.Restart(now, d.persistentState())
+	vote := &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_VOTE, Term: 1, From: "c/0", To: "a/0"}
+	n.Step(now, vote)
+	is.Equal(len(takeVoteAnswers(n, d)), 0)
+	n.Step(now.Add(time.Second), vote)
+	is.Equal(len(takeVoteAnswers(n, d)), 1)
+}
+
+// requestedLedTerm returns the term that a restarted node says in a request for votes to have led.
+func requestedLedTerm(now time.Time, d *disk) (uint64, bool) {
+	n := &raft.Node{Self: "a/0"}
+	n.Restart(now, d.persistentState())
+	n.Tick(now.Add(5 * time.Second))
+	for _, m := range n.TakeEffects().Messages {
+		if m.GetKind() == wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE {
+			return m.GetLedTerm(), true
+		}
+	}
+	return 0, false
+}
+
+// TestLedTermEndsWithTheTerm checks that a VM says that it led its term only while that term is the
+// latest that it knows, also after restarts.
+func TestLedTermEndsWithTheTerm(t *testing.T) {
+	is := is.New(t)
+	d := &disk{snapshot: &wire.LogSnapshot{Membership: threeVoters()}, termAndVote: &wire.HardState{Term: 4, Vote: "a/0", Led: true}}
+	now := time.Unix(1000, 0)
+	ledTerm, requested := requestedLedTerm(now, d)
+	is.True(requested)
+	is.Equal(ledTerm, uint64(4))
+
+	candidate := &disk{snapshot: d.snapshot, termAndVote: d.termAndVote}
+	n := &raft.Node{Self: "a/0"}
+	n.Restart(now, candidate.persistentState())
+	n.Tick(now)
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_PRE_VOTE_ANSWER, Term: 5, From: "b/0", To: "a/0"})
+	is.Equal(n.Role(), raft.Candidate)
+	takeVoteAnswers(n, candidate)
+	ledTerm, requested = requestedLedTerm(now, candidate) // it was not elected in term 5
+	is.True(requested)
+	is.Equal(ledTerm, uint64(0))
+
+	follower := &disk{snapshot: d.snapshot, termAndVote: d.termAndVote}
+	n = &raft.Node{Self: "a/0"}
+	n.Restart(now, follower.persistentState())
+	n.Step(now, &wire.AgreementMessage{Kind: wire.AgreementKind_AGREEMENT_KIND_APPEND, Term: 6, From: "c/0", To: "a/0"})
+	takeVoteAnswers(n, follower)
+	ledTerm, requested = requestedLedTerm(now, follower) // c led term 6
+	is.True(requested)
+	is.Equal(ledTerm, uint64(0))
+}
--- a/coord/raft/raft_test.go
+++ b/coord/raft/raft_test.go
@@ -227,3 +227,45 @@
 		is.Equal(len(c.violations), 0)
 	}
 }
+
+// TestFormerLeaderLeadsAgainAtOnce crashes all voters and restarts them together: the one that led
+// does not wait until its own lease would have ended.
+func TestFormerLeaderLeadsAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	const roundTrips = 200 * time.Millisecond
+	for seed := range uint64(20) {
+		c := newCluster(seed, 5)
+		former := c.awaitLeader(5 * time.Second)
+		is.True(former != nil)
+		term := former.node.Term()
+		c.advance(time.Second)
+		for _, key := range c.keys {
+			c.crash(key)
+		}
+		for _, key := range c.keys {
+			c.start(c.members[key])
+		}
+		is.Equal(c.awaitLeader(roundTrips), former)
+		is.Equal(former.node.Term(), term+1)
+		is.Equal(len(c.violations), 0)
+	}
+}
+
+// TestFormerLeaderOfEarlierTermWaits checks that a VM which led does not disturb the leader that was
+// elected since.
+func TestFormerLeaderOfEarlierTermWaits(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(8, 5)
+	former := c.awaitLeader(5 * time.Second)
+	c.advance(time.Second)
+	c.crash(former.key)
+	c.advance(2 * time.Second)
+	next := c.awaitLeader(5 * time.Second)
+	is.True(next != nil && next != former)
+	term := next.node.Term()
+	c.start(former)
+	c.advance(5 * time.Second)
+	is.Equal(c.leader(), next)
+	is.Equal(next.node.Term(), term)
+	is.Equal(len(c.violations), 0)
+}
