entry/runner: an overloaded primary is reported often

Change: an owner that finds its primary overloaded renews each 100 ms, as it does for one that it cannot reach.

Test: TestPrimaryServingAloneIsReportedOverloaded, red without it.

--- a/entry/runner/overload_test.go
+++ b/entry/runner/overload_test.go
@@ -33,16 +33,22 @@
 }
 
 func (o *testOwner) reportedHealth() wire.PrimaryHealth {
+	health, _ := o.report()
+	return health
+}
+
+func (o *testOwner) report() (health wire.PrimaryHealth, urgent bool) {
 	request := &wire.RenewRequest{}
-	o.runner.Report(o.clock(), request)
+	urgent = o.runner.Report(o.clock(), request)
 	for _, observation := range request.GetObservations() {
-		return observation.GetHealth()
+		return observation.GetHealth(), urgent
 	}
-	return wire.PrimaryHealth_PRIMARY_HEALTH_UNKNOWN
+	return wire.PrimaryHealth_PRIMARY_HEALTH_UNKNOWN, urgent
 }
 
 // TestPrimaryServingAloneIsReportedOverloaded has every replica lag too far for reads, which
-// overloads the primary. The owner must report this, and stop once a replica serves reads again.
+// overloads the primary. The owner must report this, often since the primary may be replaced at any
+// moment, and stop once a replica serves reads again.
 func TestPrimaryServingAloneIsReportedOverloaded(t *testing.T) {
 	is := is.New(t)
 	var lagging atomic.Bool
@@ -65,7 +71,8 @@
 	waitForHealth := func(wanted wire.PrimaryHealth) {
 		for range 10 {
 			for range 500 {
-				if o.reportedHealth() == wanted {
+				if health, urgent := o.report(); health == wanted {
+					is.Equal(urgent, wanted != wire.PrimaryHealth_PRIMARY_HEALTH_GOOD)
 					return
 				}
 				time.Sleep(time.Millisecond)
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -143,7 +143,8 @@
 		request.Holdings = append(request.Holdings, holding)
 		if observation != nil {
 			request.Observations = append(request.Observations, observation)
-			urgent = urgent || observation.GetHealth() == wire.PrimaryHealth_PRIMARY_HEALTH_UNREACHABLE
+			// The answer may say that the primary is to be replaced; callers wait until it is.
+			urgent = urgent || observation.GetHealth() != wire.PrimaryHealth_PRIMARY_HEALTH_GOOD
 		}
 		urgent = urgent || g.closing()
 	}
