dispatch: the only server is not skipped, and predictions count all servers

With the primary left out a queue predicted no wait at all ("waiting 41, predicted 0s"), so that work which could not be in time was not refused when it came but held until its time had passed.

Change: a server that fails is skipped only while another may run the job; a prediction counts the servers that may run the job now.

Tests: TestOnlyServerIsNotSkipped and TestPredictionCountsServersThatFailedBefore, both red before.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -192,13 +192,13 @@
 
 // Submit enqueues or refuses a job, and assigns waiting jobs to free servers.
 func (q *Queue) Submit(now time.Time, j Job) ([]Assignment, []Refusal) {
-	if !q.hasEligibleServer(now, j) {
+	if !q.hasEligibleServer(j) {
 		return nil, []Refusal{{JobID: j.ID, Reason: NoServer}}
 	}
 	if len(q.waiting) >= maxWaiting {
 		return nil, []Refusal{{JobID: j.ID, Reason: QueueFull}}
 	}
-	latency := q.predictLatency(j)
+	latency := q.predictLatency(now, j)
 	if now.Add(latency).After(j.Deadline) || q.wouldStarve(now, j, latency) {
 		return nil, []Refusal{{JobID: j.ID, Reason: DeadlineExceeded, RetryAfter: latency}}
 	}
@@ -265,7 +265,7 @@
 		switch {
 		case !now.Before(j.Deadline):
 			refused = append(refused, Refusal{JobID: j.ID, Reason: DeadlineExceeded})
-		case !q.hasEligibleServer(now, j):
+		case !q.hasEligibleServer(j):
 			refused = append(refused, Refusal{JobID: j.ID, Reason: NoServer})
 		case q.wouldStarve(now, j, 0):
 			refused = append(refused, Refusal{JobID: j.ID, Reason: DeadlineExceeded, RetryAfter: starvationTimeout})
@@ -316,7 +316,7 @@
 		s.bypassedSince = time.Time{}
 		return
 	}
-	lateJobWaits := slices.ContainsFunc(q.waiting, func(w Job) bool { return s.missesSoftDeadline(now, w) && s.eligible(now, w) })
+	lateJobWaits := slices.ContainsFunc(q.waiting, func(w Job) bool { return s.missesSoftDeadline(now, w) && q.eligible(now, s, w) })
 	if lateJobWaits && s.bypassedSince.IsZero() {
 		s.bypassedSince = now
 	}
@@ -337,7 +337,7 @@
 func (q *Queue) wouldStarve(now time.Time, j Job, wait time.Duration) bool {
 	found := false
 	for _, s := range q.servers {
-		if !s.eligible(now, j) {
+		if !q.eligible(now, s, j) {
 			continue
 		}
 		late := s.missesSoftDeadline(now, j) || !j.SoftDeadline.IsZero() && now.Add(wait).After(j.SoftDeadline)
@@ -349,20 +349,35 @@
 	return found
 }
 
-// eligible reports whether a server may run a job, regardless of its load.
-func (s *server) eligible(now time.Time, j Job) bool {
+// allows reports whether a server may run a job, regardless of its load and failures.
+func (s *server) allows(j Job) bool {
 	if j.Slot != "" {
 		return s.Slot == j.Slot
 	}
-	if s.Leaving && !j.Pinned || j.PrimaryOnly && !s.Primary || slices.Contains(j.ExcludedSlots, s.Slot) {
-		return false
+	return !(s.Leaving && !j.Pinned || j.PrimaryOnly && !s.Primary || slices.Contains(j.ExcludedSlots, s.Slot))
+}
+
+// eligible reports whether a server may run a job, regardless of its load. A server that has failed
+// lately is skipped only while another may run the job: it may still answer most.
+func (q *Queue) eligible(now time.Time, s *server, j Job) bool {
+	return s.allows(j) && (!s.failing(now) || !q.hasHealthyServer(now, j))
+}
+
+// failing reports whether a server is to be skipped because of its last answers.
+func (s *server) failing(now time.Time) bool { return now.Before(s.retryAt) }
+
+func (q *Queue) hasHealthyServer(now time.Time, j Job) bool {
+	for _, s := range q.servers {
+		if s.allows(j) && !s.failing(now) {
+			return true
+		}
 	}
-	return j.PrimaryOnly || !now.Before(s.retryAt)
+	return false
 }
 
-func (q *Queue) hasEligibleServer(now time.Time, j Job) bool {
+func (q *Queue) hasEligibleServer(j Job) bool {
 	for _, s := range q.servers {
-		if s.eligible(now, j) {
+		if s.allows(j) {
 			return true
 		}
 	}
@@ -374,7 +389,7 @@
 	var best *server
 	var bestCost time.Duration
 	for _, s := range q.servers {
-		if !s.eligible(now, j) || s.running >= s.concurrency() {
+		if !q.eligible(now, s, j) || s.running >= s.concurrency() {
 			continue
 		}
 		cost := s.serviceTime * time.Duration(s.running+1)
@@ -393,7 +408,7 @@
 
 // predictLatency returns the predicted time until a job is answered: the jobs ahead of it on the
 // servers that may run it, and its own service time.
-func (q *Queue) predictLatency(j Job) time.Duration {
+func (q *Queue) predictLatency(now time.Time, j Job) time.Duration {
 	ahead := 0
 	for _, w := range q.waiting {
 		if compareJobs(w, j) <= 0 && w.PrimaryOnly == j.PrimaryOnly {
@@ -403,7 +418,7 @@
 	var throughput float64
 	var shortest time.Duration
 	for _, s := range q.servers {
-		if s.eligible(time.Time{}, j) || j.Slot == s.Slot {
+		if q.eligible(now, s, j) {
 			ahead += s.running
 			throughput += float64(s.concurrency()) / float64(max(s.serviceTime, time.Millisecond))
 			if shortest == 0 || s.serviceTime < shortest {
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -72,6 +72,46 @@
 	is.Equal(started, []dispatch.Assignment{{JobID: 8, Slot: "r"}}) // used again after the backoff
 }
 
+// TestOnlyServerIsNotSkipped has the replica lag while the primary loses some answers, two after one
+// another: what no other server may run must go on running there.
+func TestOnlyServerIsNotSkipped(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue()
+	lagging := []string{"r"}
+	for id := range uint64(2) {
+		started, _ := q.Submit(at(0), dispatch.Job{ID: id, Deadline: at(1000), ExcludedSlots: lagging})
+		is.Equal(len(started), 1)
+		_, _ = q.Done(at(0), "p", 0, false)
+	}
+	started, refused := q.Submit(at(0), dispatch.Job{ID: 3, Deadline: at(1000), ExcludedSlots: lagging})
+	is.Equal(len(refused), 0)
+	is.Equal(started, []dispatch.Assignment{{JobID: 3, Slot: "p"}})
+	_, _ = q.Done(at(10), "p", 10*time.Millisecond, true)
+	_, _ = q.Submit(at(10), dispatch.Job{ID: 4, Deadline: at(1000)}) // occupies the replica
+	started, _ = q.Submit(at(10), dispatch.Job{ID: 5, Deadline: at(1000)})
+	is.Equal(len(started), 0) // the replica may run it, if not yet
+}
+
+// TestPredictionCountsServersThatFailedBefore overloads a server long after it lost some answers: jobs
+// that cannot be in time must still be refused when they come, not when their time has passed.
+func TestPredictionCountsServersThatFailedBefore(t *testing.T) {
+	is := is.New(t)
+	refusedAtOnce := func(failures int) (count int) {
+		q := newTestQueue()
+		for id := range uint64(failures) {
+			_, _ = q.Submit(at(0), dispatch.Job{ID: id, Deadline: at(1000), PrimaryOnly: true})
+			_, _ = q.Done(at(0), "p", 0, false)
+		}
+		for id := range uint64(100) {
+			_, refused := q.Submit(at(60_000), dispatch.Job{ID: 10 + id, Deadline: at(60_100), ExcludedSlots: []string{"r"}})
+			count += len(refused)
+		}
+		return count
+	}
+	is.True(refusedAtOnce(0) > 50)
+	is.Equal(refusedAtOnce(2), refusedAtOnce(0))
+}
+
 func TestLeavingServerGetsNoNewJobs(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue()
