entry/control: control VMs that cannot be reached are not waited for

Cause: an entry VM asks up to three control VMs for the leader and waited 50 ms longer once one said that it knows none, but 400 ms if the others refused or stayed silent.

Change: a refused connection starts the 50 ms as well. They double with each failed attempt up to the time of a call, so that a leader which is slow to answer is found too.

--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -65,6 +65,8 @@
 	failures         uint64
 	leaderLost       bool
 	search           searchTimer
+	// call makes one renewal call; tests replace it.
+	call func(ctx context.Context, client *protorpc.Client, request *wire.RenewRequest) (*wire.RenewResponse, error)
 	// fetching is set while fetchChanges runs; fetchResult receives its result.
 	fetching    bool
 	fetchResult chan error
@@ -76,6 +78,7 @@
 	c.announcements = map[string]*wire.Announcement{}
 	c.clients = map[string]*protorpc.Client{}
 	c.fetchResult = make(chan error, 1)
+	c.call = callRenew
 }
 
 // RequestRenewal triggers an early renewal without blocking.
--- a/entry/control/leader.go
+++ b/entry/control/leader.go
@@ -15,8 +15,9 @@
 	// maxParallelRenewals limits concurrent renewals while the leader is unknown. Concurrency keeps a
 	// control VM that is not up yet from delaying discovery by renewCallTimeout.
 	maxParallelRenewals = 3
-	// leaderDiscoveryTimeout limits the wait for other responses after a control VM reports no known
-	// leader; it covers several round trips.
+	// leaderDiscoveryTimeout limits the wait for other responses once a control VM has no leader to
+	// report or cannot be reached; it covers several round trips. It doubles with each attempt, so that
+	// a leader that is slow to answer is found as well.
 	leaderDiscoveryTimeout = 50 * time.Millisecond
 )
 
@@ -27,7 +28,7 @@
 	if c.leader == "" {
 		return c.findLeader(ctx, request)
 	}
-	response, err := callRenew(ctx, c.clientFor(c.leader), request)
+	response, err := c.call(ctx, c.clientFor(c.leader), request)
 	if err == nil && response.GetAccepted() {
 		return response, nil
 	}
@@ -44,7 +45,7 @@
 
 // sendToLeader sends the request to the control VM that another one named as the leader.
 func (c *Client) sendToLeader(ctx context.Context, address string, request *wire.RenewRequest) (*wire.RenewResponse, error) {
-	response, err := callRenew(ctx, c.clientFor(address), request)
+	response, err := c.call(ctx, c.clientFor(address), request)
 	if err != nil {
 		return nil, err
 	}
@@ -71,10 +72,11 @@
 	for _, address := range candidates {
 		client := c.clientFor(address)
 		go func() {
-			response, err := callRenew(ctx, client, request)
+			response, err := c.call(ctx, client, request)
 			results <- renewResult{address, response, err}
 		}()
 	}
+	wait := c.search.patience()
 	var lastErr error
 	var timeout <-chan time.Time
 	for range candidates {
@@ -92,11 +94,11 @@
 			default:
 				lastErr = errNoLeader
 			}
-			if timeout == nil && result.err == nil && leader == "" {
-				timeout = time.After(leaderDiscoveryTimeout)
+			if timeout == nil && leader == "" {
+				timeout = time.After(wait)
 			}
 		case <-timeout:
-			return nil, errNoLeader
+			return nil, lastErr
 		}
 	}
 	return nil, lastErr
--- a/entry/control/search.go
+++ b/entry/control/search.go
@@ -26,6 +26,15 @@
 	t.interval = interval
 }
 
+// patience returns how long to wait for other responses in this attempt.
+func (t *searchTimer) patience() time.Duration {
+	wait := leaderDiscoveryTimeout
+	for range min(t.failures, quickSearches) {
+		wait = min(2*wait, renewCallTimeout)
+	}
+	return wait
+}
+
 // next returns how long to wait after a failed attempt, with a random part so that VMs that lost the
 // leader together do not look for it together.
 func (t *searchTimer) next() time.Duration {
