promote: owners are told before a leaving primary closes

Cause: owners of a group renew 400 ms apart, out of step.

Change: a primary that leaves has announced it seconds before. For the time between two renewals the group goes on as before while its owners are told to renew each 100 ms; then it closes.

--- a/coord/leader/announced_test.go
+++ b/coord/leader/announced_test.go
@@ -232,6 +232,61 @@
 	is.True(grant.GetTerm() > 7)
 }
 
+// TestOwnersHearOfClosingTogether has three owners renew when the leader tells them to, out of step, as
+// their primary leaves. Work is refused from when the first of them closes it until the last has.
+func TestOwnersHearOfClosingTogether(t *testing.T) {
+	is := is.New(t)
+	const maxSpread = 120 * time.Millisecond // one urgent renewal and a tick
+	a := newFixtureWithPrimary(t)
+	owners := []string{"e1", "e2", "e3"}
+	announce := func(leaving bool) {
+		a.announce("p", "10.0.0.1:1", 5, uint64(a.now.UnixMilli()), leaving)
+		a.announce("r", "10.0.0.2:1", 5, uint64(a.now.UnixMilli()), false)
+	}
+	due, closed := map[string]time.Time{}, map[string]time.Time{}
+	for i, vm := range owners {
+		due[vm] = a.now.Add(time.Duration(i) * 150 * time.Millisecond)
+	}
+	renewDue := func() {
+		for _, vm := range owners {
+			if a.now.Before(due[vm]) {
+				continue
+			}
+			_, response := a.renew(vm, &wire.Holding{Group: "g", Term: 7, Connections: 5})
+			due[vm] = a.now.Add(time.Duration(response.GetRenewMilliseconds()) * time.Millisecond)
+			for _, g := range response.GetGroups() {
+				if _, ok := closed[vm]; g.GetClosing() && !ok {
+					closed[vm] = a.now
+				}
+			}
+		}
+	}
+	a.run(4*time.Second, func() { announce(false); renewDue() })
+	is.Equal(len(closed), 0)
+	a.run(1500*time.Millisecond, func() { announce(true); renewDue() })
+	is.Equal(len(closed), len(owners))
+	times := slices.SortedFunc(maps.Values(closed), time.Time.Compare)
+	is.True(times[2].Sub(times[0]) <= maxSpread)
+}
+
+// TestWithdrawnLeaveEndsNotice checks that owners renew as before once a primary stays after all.
+func TestWithdrawnLeaveEndsNotice(t *testing.T) {
+	is := is.New(t)
+	a := newFixtureWithPrimary(t)
+	interval := func(leaving bool) time.Duration {
+		a.run(200*time.Millisecond, func() {
+			a.announce("p", "10.0.0.1:1", 5, uint64(a.now.UnixMilli()), leaving)
+			a.announce("r", "10.0.0.2:1", 5, uint64(a.now.UnixMilli()), false)
+		})
+		_, response := a.renew("e1", &wire.Holding{Group: "g", Term: 7, Connections: 5})
+		return time.Duration(response.GetRenewMilliseconds()) * time.Millisecond
+	}
+	before := interval(false)
+	is.True(interval(true) < before)
+	is.Equal(interval(false), before)
+	is.Equal(len(a.promotedSlots), 0)
+}
+
 // TestRefusedPromotionMovesToAnotherServer checks that another server is promoted when the platform
 // reports that the chosen one is not running.
 func TestRefusedPromotionMovesToAnotherServer(t *testing.T) {
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -157,7 +157,7 @@
 	l.configurationVersion = l.State.Version()
 	for name, g := range l.configuration.Groups {
 		if l.groups[name] == nil {
-			l.groups[name] = &group{failover: &promote.Group{Name: name}, servers: map[string]*server{}}
+			l.groups[name] = &group{failover: &promote.Group{Name: name, Notice: l.renewInterval()}, servers: map[string]*server{}}
 			l.groups[name].failover.Restart(now, primaryOf(l.State, name))
 		}
 		l.groups[name].failover.Announced = g.Announced
--- a/coord/leader/renewals.go
+++ b/coord/leader/renewals.go
@@ -58,10 +58,11 @@
 	return time.Duration(vms) * time.Second / maxRenewalRate
 }
 
-// primaryChanging reports whether the primary of a group that the VM owns is being changed.
+// primaryChanging reports whether the primary of a group that the VM owns is being changed or soon will
+// be.
 func (l *Leader) primaryChanging(m *member) bool {
 	return slices.ContainsFunc(m.owned, func(name string) bool {
 		g := l.groups[name]
-		return g != nil && g.failover.Primary().Term > 0 && g.failover.State() != promote.Steady
+		return g != nil && g.failover.Primary().Term > 0 && (g.failover.State() != promote.Steady || g.failover.HandoverPending())
 	})
 }
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -139,6 +139,9 @@
 	// the primary only and are promoted by their platform, which chooses the term: the recorded
 	// term orders changes, and the servers' terms are compared only with one another.
 	Announced bool
+	// Notice is the time between learning that the primary leaves and closing it, in which the owners
+	// start to ask often; those that hear of the closing first refuse work until the last one has.
+	Notice time.Duration
 
 	state            string
 	enteredAt        time.Time
@@ -160,6 +163,8 @@
 	// primary becomes a replica that shares the reads.
 	loadHandover     bool
 	nextLoadHandover time.Time
+	// leavingSince is when the primary was found to be leaving, or zero.
+	leavingSince time.Time
 }
 
 // State returns the name of the current state in chart.json.
@@ -189,6 +194,9 @@
 	return 0
 }
 
+// HandoverPending reports whether the primary is to be closed within Notice.
+func (g *Group) HandoverPending() bool { return g.State() == Steady && !g.leavingSince.IsZero() }
+
 // Closing reports whether owners may only finish what they began on the primary.
 func (g *Group) Closing() bool { return g.State() == Closing }
 
@@ -330,7 +338,7 @@
 		g.transition(now, "suspected")
 		return g.query(now)
 	}
-	if g.primaryLeaving(now) {
+	if g.updateLeaving(now) {
 		g.note = leavingNote
 		g.transition(now, "leaving")
 		return nil
@@ -367,6 +375,18 @@
 	return false
 }
 
+// updateLeaving updates leavingSince and reports whether the primary is to be closed now.
+func (g *Group) updateLeaving(now time.Time) bool {
+	switch {
+	case !g.primaryLeaving(now):
+		g.leavingSince = time.Time{}
+		return false
+	case g.leavingSince.IsZero():
+		g.leavingSince = now
+	}
+	return now.Sub(g.leavingSince) >= g.Notice
+}
+
 // primaryLeaving reports whether the primary has announced that it is about to stop and enough
 // other servers remain: a majority of the slots, or one server of an announced group.
 func (g *Group) primaryLeaving(now time.Time) bool {
