leader: owners of changing primaries renew at a bounded rate

Cause: an owner renews each 100 ms while one of its groups changes its primary, and while it has something urgent to report.

Change: such owners share 500 renewals a second, each at least as often as it renews its leases. The leader says how often in each answer, also for what the VM itself finds urgent.

Tests: TestDirectoryStormWhenAllPrimariesChange, red without the limit; TestLeaderSetsTheTimeBetweenRenewals.

--- a/coord/leader/directorystorm_test.go
+++ b/coord/leader/directorystorm_test.go
@@ -118,3 +118,19 @@
 	}
 	is.True(waiting > vms/2)
 }
+
+// TestDirectoryStormWhenAllPrimariesChange checks that the owners of all groups, which are all VMs here,
+// do not renew more often than the leader can answer while every group changes its primary.
+func TestDirectoryStormWhenAllPrimariesChange(t *testing.T) {
+	is := is.New(t)
+	const vms, groups = 300, 100
+	f := newFleet(vms, groups, false)
+	f.run(6 * time.Second)
+	changing := f.now
+	f.leaving = true
+	f.run(1500 * time.Millisecond) // until all have announced it
+	f.renewals = 0
+	f.run(time.Second)
+	is.True(f.renewals <= maxRenewals)
+	is.Equal(f.termsSince(changing), 0)
+}
--- a/coord/leader/fleet_test.go
+++ b/coord/leader/fleet_test.go
@@ -92,7 +92,9 @@
 
 	// naive plays entry VMs that retry at a fixed interval and get a whole directory of all VMs from
 	// each new leader, which sends one message at a time to each follower.
-	naive         bool
+	naive bool
+	// leaving says that all primaries announce that they leave.
+	leaving       bool
 	linkRate      float64
 	entryLinkRate float64
 	vms           []*fleetVM
@@ -275,7 +277,7 @@
 			if f.leading {
 				f.leader.ReceiveAnnouncement(f.now, &wire.Announcement{
 					Group: fleetGroup(i), Slot: fmt.Sprintf("s%d", s), Incarnation: "1", Address: fmt.Sprintf("10.128.%d.%d:8080", i, s),
-					FailureDomain: fmt.Sprintf("domain-%d", s), Primary: s == 0, Born: 5, Sequence: uint64(f.now.UnixMilli()),
+					FailureDomain: fmt.Sprintf("domain-%d", s), Primary: s == 0, Leaving: f.leaving && s == 0, Born: 5, Sequence: uint64(f.now.UnixMilli()),
 				})
 			}
 		}
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -80,7 +80,9 @@
 	recordedRevision     uint64
 	groupNames           []string
 	ownersOutdated       bool
-	members              map[string]*member
+	// changingOwners is the number of owners of groups whose primaries are being changed.
+	changingOwners int
+	members        map[string]*member
 	// expired holds removed members by VM. Such a VM may still serve requests with the configuration
 	// version in its record until the confirmWithin of InForce has passed since its last renewal.
 	expired   map[string]*member
--- a/coord/leader/renewals.go
+++ b/coord/leader/renewals.go
@@ -18,6 +18,9 @@
 	// maxRenewalRate limits how many renewals in a second the leader asks for, of each kind below: a
 	// quarter of what half a processor handles.
 	maxRenewalRate = 1000
+	// maxUrgentRate limits the renewals in a second of the owners whose primaries change. They carry
+	// more: findings, grants and the state of the other groups that change.
+	maxUrgentRate = 500
 )
 
 // scheduleRenewal adds the directory to a response and sets when the VM should renew next.
@@ -36,11 +39,13 @@
 		}
 		interval = min(interval, max(soonInterval, spread(true, waiting)))
 	}
+	urgentInterval := min(l.renewInterval(), max(soonInterval, time.Duration(l.changingOwners)*time.Second/maxUrgentRate))
 	if urgent {
-		interval = soonInterval
+		interval = urgentInterval
 	}
 	response.Soon = interval < l.renewInterval()
 	response.RenewMilliseconds = uint32(interval.Milliseconds())
+	response.UrgentMilliseconds = uint32(urgentInterval.Milliseconds())
 	response.SearchMilliseconds = uint32(max(soonInterval, spread(true, len(l.members))).Milliseconds())
 }
 
@@ -63,6 +68,24 @@
 func (l *Leader) primaryChanging(m *member) bool {
 	return slices.ContainsFunc(m.owned, func(name string) bool {
 		g := l.groups[name]
-		return g != nil && g.failover.Primary().Term > 0 && (g.failover.State() != promote.Steady || g.failover.HandoverPending())
+		return g != nil && g.primaryChanging()
 	})
 }
+
+func (g *group) primaryChanging() bool {
+	return g.failover.Primary().Term > 0 && (g.failover.State() != promote.Steady || g.failover.HandoverPending())
+}
+
+// countChangingOwners counts the owners of groups whose primaries are being changed.
+func (l *Leader) countChangingOwners() {
+	owners := map[string]bool{}
+	for _, g := range l.groups {
+		if !g.primaryChanging() {
+			continue
+		}
+		for _, vm := range g.owners {
+			owners[vm] = true
+		}
+	}
+	l.changingOwners = len(owners)
+}
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -196,11 +196,16 @@
 		c.Drain()
 	}
 	if urgent {
-		return 2 * minRenewInterval
+		return urgentInterval(response)
 	}
 	return renewInterval(response)
 }
 
+// urgentInterval returns when to renew after an answer while something is urgent.
+func urgentInterval(response *wire.RenewResponse) time.Duration {
+	return max(2*minRenewInterval, time.Duration(response.GetUrgentMilliseconds())*time.Millisecond)
+}
+
 // renewInterval returns when to renew after an answer; one of an earlier version gives no time.
 func renewInterval(response *wire.RenewResponse) time.Duration {
 	if interval := time.Duration(response.GetRenewMilliseconds()) * time.Millisecond; interval > 0 {
--- a/entry/control/export_test.go
+++ b/entry/control/export_test.go
@@ -29,3 +29,6 @@
 
 // Leader returns the address of the known leader.
 func (c *Client) Leader() string { return c.leader }
+
+// UrgentIntervalAfter exports urgentInterval.
+func UrgentIntervalAfter(response *wire.RenewResponse) time.Duration { return urgentInterval(response) }
--- a/entry/control/search_test.go
+++ b/entry/control/search_test.go
@@ -48,4 +48,6 @@
 	is.Equal(after(&wire.RenewResponse{RenewMilliseconds: 1, Soon: true}), 50*time.Millisecond)
 	is.Equal(after(&wire.RenewResponse{Soon: true}), 100*time.Millisecond)
 	is.Equal(after(&wire.RenewResponse{}), 400*time.Millisecond)
+	is.Equal(control.UrgentIntervalAfter(&wire.RenewResponse{UrgentMilliseconds: 300}), 300*time.Millisecond)
+	is.Equal(control.UrgentIntervalAfter(&wire.RenewResponse{}), 100*time.Millisecond)
 }
