--- a/coord/doc.go
+++ b/coord/doc.go
@@ -14,6 +14,7 @@
 //	config     the operators' objects and their validation
 //	place      assignment of groups to entry VMs
 //	lease      leases on groups and shares of their connections
+//	directory  what every entry VM knows of groups and owners
 //	promote    when to change a primary, and to which slot
 //
 // Requests at the entry VMs:
@@ -23,6 +24,7 @@
 //	statement  classification of SQL statements for routing
 //	setup      preparation of a pooled connection for a session
 //	retry      limit on the extra load that retries cause
+//	cancel     keys with which a statement is canceled through any entry VM
 //
 // Groups with configured slots (entry/owner):
 //
