--- a/coord/leader/directorystorm_test.go
+++ b/coord/leader/directorystorm_test.go
@@ -42,62 +42,56 @@
 	is.True(terms[300] > 2)
 }
 
-// TestDirectoryStormAfterColdStart checks that one election is enough when all VMs start together, and
-// that the leader bounds the renewals while it takes them up.
-func TestDirectoryStormAfterColdStart(t *testing.T) {
+// forEachFleet runs a check for each size, on a fleet that has run for a while.
+func forEachFleet(t *testing.T, age time.Duration, check func(is *is.I, f *fleet, recovery time.Duration)) {
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprint(size.vms), func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
 			f := newFleet(size.vms, size.groups, false)
-			f.run(2 * time.Second)
-			is.True(f.renewals <= 2*(maxRenewals+size.vms))
-			f.run(3 * time.Second)
-			is.Equal(f.behind(), 0)
-			is.Equal(len(f.termStarts), 1)
+			f.run(age)
+			check(is.New(t), f, size.recovery)
 		})
 	}
 }
 
+// TestDirectoryStormAfterColdStart checks that one election is enough when all VMs start together, and
+// that the leader bounds the renewals while it takes them up.
+func TestDirectoryStormAfterColdStart(t *testing.T) {
+	forEachFleet(t, 2*time.Second, func(is *is.I, f *fleet, _ time.Duration) {
+		is.True(f.renewals <= 2*(maxRenewals+len(f.vms)))
+		f.run(3 * time.Second)
+		is.Equal(f.behind(), 0)
+		is.Equal(len(f.termStarts), 1)
+	})
+}
+
 // TestDirectoryStormAfterLeaderLoss checks that the next leader takes up all VMs in one term, and that
 // what they have of the directory is not sent again.
 func TestDirectoryStormAfterLeaderLoss(t *testing.T) {
-	for _, size := range fleetSizes {
-		t.Run(fmt.Sprint(size.vms), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			f := newFleet(size.vms, size.groups, false)
-			f.run(6 * time.Second)
-			f.sentBytes = 0
-			f.run(2 * time.Second)
-			steady := f.sentBytes
-			f.loseLeader()
-			lost := f.now
-			f.sentBytes = 0
-			f.run(2 * time.Second)
-			is.Equal(f.behind(), 0)
-			is.Equal(f.termsSince(lost), 1)
-			is.True(f.sentBytes < 2*steady) // more renewals while leases are adopted, no directories
-		})
-	}
+	forEachFleet(t, 6*time.Second, func(is *is.I, f *fleet, _ time.Duration) {
+		f.sentBytes = 0
+		f.run(2 * time.Second)
+		steady := f.sentBytes
+		f.loseLeader()
+		lost := f.now
+		f.sentBytes = 0
+		f.run(2 * time.Second)
+		is.Equal(f.behind(), 0)
+		is.Equal(f.termsSince(lost), 1)
+		is.True(f.sentBytes < 2*steady) // more renewals while leases are adopted, no directories
+	})
 }
 
 // TestDirectoryStormAfterHerdKill checks that the leader stays when half of the VMs restart together,
 // and that all of them have the directory soon.
 func TestDirectoryStormAfterHerdKill(t *testing.T) {
-	for _, size := range fleetSizes {
-		t.Run(fmt.Sprint(size.vms), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			f := newFleet(size.vms, size.groups, false)
-			f.run(6 * time.Second)
-			killed := f.now
-			f.kill(0.55)
-			f.run(size.recovery)
-			is.Equal(f.behind(), 0)
-			is.Equal(f.termsSince(killed), 0)
-		})
-	}
+	forEachFleet(t, 6*time.Second, func(is *is.I, f *fleet, recovery time.Duration) {
+		killed := f.now
+		f.kill(0.55)
+		f.run(recovery)
+		is.Equal(f.behind(), 0)
+		is.Equal(f.termsSince(killed), 0)
+	})
 }
 
 // TestDirectoryStormWaitsAreSpread checks that VMs which have to wait for the directory do not ask
