promote: a recorded primary is served only once it is known to lead

A control leader recorded i-1aad735f45 as the next primary of a group at 6.00 s and lost its term, on a slow disk, before the order went out. The leader of term 5 took the record as a primary that works and granted its term at 10.42 s; owners read from a replica at 1.81 what the earlier primary had acknowledged up to 1.88, until 11.5 s.

Change: in an announced group a new leader grants the recorded term only after the server has answered that it leads, or an owner reports a lease of that term, which an earlier leader granted after the same answer. It asks until then.

Tests: TestUnorderedPrimaryIsNotServed, red before; TestGrantsContinueUnderNextLeader.

--- a/coord/leader/announced_test.go
+++ b/coord/leader/announced_test.go
@@ -269,6 +269,43 @@
 	is.True(times[2].Sub(times[0]) <= maxSpread)
 }
 
+// TestUnorderedPrimaryIsNotServed has a leader record the next primary and lose its term before the order:
+// the next leader must not let owners read from it as a primary, since it lacks what the earlier primary
+// has acknowledged meanwhile.
+func TestUnorderedPrimaryIsNotServed(t *testing.T) {
+	is := is.New(t)
+	a := newFixtureWithPrimary(t)
+	a.apply(leader.RecordCommand("g", &promote.Primary{Term: 8, Slot: "r", Incarnations: map[string]string{"p": "1", "r": "1"}}))
+	a.setStatus("p", true, 7, 120)
+	a.startLeader(2)
+	announce := func() {
+		a.announce("p", "10.0.0.1:1", 5, uint64(a.now.UnixMilli()), false)
+		a.announce("r", "10.0.0.2:1", 5, uint64(a.now.UnixMilli()), false)
+	}
+	a.run(6*time.Second, func() {
+		announce()
+		if grant, _ := a.renew("e1"); grant.GetTerm() >= 8 {
+			t.Fatalf("term %d is granted although no server has been ordered to lead it", grant.GetTerm())
+		}
+	})
+	a.setStatus("r", true, 8, 121)
+	a.setStatus("p", false, 8, 121)
+	a.run(3*time.Second, func() { announce(); a.renew("e1") })
+	grant, _ := a.renew("e1")
+	is.True(grant.GetTerm() >= 8)
+}
+
+// TestGrantsContinueUnderNextLeader checks that the next leader takes an owner's lease as a sign that the
+// primary leads, though no server answers it.
+func TestGrantsContinueUnderNextLeader(t *testing.T) {
+	is := is.New(t)
+	a := newFixtureWithPrimary(t)
+	a.statuses = map[string]promote.Status{}
+	a.startLeader(2)
+	grant, _ := a.renew("e1", &wire.Holding{Group: "g", Term: 7, Connections: 5})
+	is.Equal(grant.GetTerm(), uint64(7))
+}
+
 // TestWithdrawnLeaveEndsNotice checks that owners renew as before once a primary stays after all.
 func TestWithdrawnLeaveEndsNotice(t *testing.T) {
 	is := is.New(t)
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -228,6 +228,11 @@
 		// grants below.
 		l.leases.MarkReported(r.GetVm())
 	}
+	for _, h := range r.GetHoldings() {
+		if g := l.groups[h.GetGroup()]; g != nil && g.failover.ConfirmTerm(h.GetTerm()) {
+			l.updateGroupState(now, h.GetGroup(), g)
+		}
+	}
 	response.Grants = l.grants(now, m, r)
 	l.leases.MarkReported(r.GetVm())
 	l.scheduleRenewal(now, m, r, response)
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -163,6 +163,9 @@
 	// primary becomes a replica that shares the reads.
 	loadHandover     bool
 	nextLoadHandover time.Time
+	// confirmed is set once the recorded primary is known to lead its term. A leader may have recorded
+	// it and then lost its own term before the order.
+	confirmed bool
 	// leavingSince is when the primary was found to be leaving, or zero.
 	leavingSince time.Time
 }
@@ -183,6 +186,9 @@
 
 // AckTerm returns the term in which owners may acknowledge writes, or 0 while it may change.
 func (g *Group) AckTerm() uint64 {
+	if g.Announced && !g.confirmed {
+		return 0
+	}
 	switch g.State() {
 	case Steady, Checking, Closing:
 		return g.primary.Term
@@ -232,7 +238,18 @@
 	}
 	if old, ok := g.statuses[s.Slot]; !ok || old.QueriedAt.Before(s.QueriedAt) {
 		g.statuses[s.Slot] = s
+		g.confirmed = g.confirmed || s.Slot == g.primary.Slot && !s.QueriedAt.Before(g.enteredAt) && g.leads(s)
+	}
+}
+
+// ConfirmTerm records that an owner holds a lease for a term and reports whether that is news: an
+// earlier leader granted it once the primary led.
+func (g *Group) ConfirmTerm(term uint64) bool {
+	if g.confirmed || term == 0 || term != g.primary.Term {
+		return false
 	}
+	g.confirmed = true
+	return true
 }
 
 // ApplyRecordedPrimary applies a primary that the control VMs have recorded.
@@ -243,6 +260,7 @@
 	newTerm := p.Term > g.primary.Term
 	g.primary = p
 	if newTerm {
+		g.confirmed = false
 		g.observations = nil
 		g.clearedChecks = 0
 		g.loadHandover = false
@@ -257,6 +275,7 @@
 	g.state = stateChart.Initial()
 	g.enteredAt = now
 	g.loadHandover = false
+	g.confirmed = false
 }
 
 // PromotionRefused records that the server in the primary's slot refused for good to lead the
@@ -354,7 +373,7 @@
 			return append(actions, Action{Query: g.Slots})
 		}
 	}
-	if g.Announced && g.reportedUnusable(now) && !now.Before(g.nextSteadyQuery) {
+	if g.Announced && (!g.confirmed || g.reportedUnusable(now)) && !now.Before(g.nextSteadyQuery) {
 		g.nextSteadyQuery = now.Add(queryInterval)
 		actions = append(actions, Action{Query: []string{g.primary.Slot}})
 	}
