--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -161,6 +161,13 @@
 	}
 }
 
+// setFactor sets how many times as long the database's work takes.
+func (d *database) setFactor(factor int) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.factor = factor
+}
+
 func (d *database) beat(control []string, stop chan struct{}) {
 	c := newCaller()
 	target, next := "", rand.IntN(len(control))
