review: a primary lost while no lease runs is never replaced

Cause: a new control leader waits for a recorded primary that no owner may report as lost before it has had its lease.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -334,6 +334,60 @@
 	slowFor          = 16 * time.Second
 )
 
+// lostPrimary: the primary is lost for good as every process of the system is killed.
+func lostPrimary(rec *record, root string, trouble bool) (bool, error) {
+	d, err := deploy(rec, root, 1, 0, 8*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	if err := d.begin(0); err != nil {
+		return false, err
+	}
+	before := newTally()
+	d.consumeEverywhere(before)
+	time.Sleep(5 * time.Second)
+	if trouble {
+		rec.say("disturbance: the primary %s is lost for good", d.databases[0].id)
+		d.databases[0].crash()
+		time.Sleep(300 * time.Millisecond)
+		rec.say("final fault: all processes are killed, and start again after %v", restartDelay)
+		for _, m := range d.machines {
+			for _, p := range m.processes {
+				p.signal(syscall.SIGKILL)
+			}
+		}
+		time.Sleep(restartDelay)
+	}
+	before.stop.Store(true)
+	before.consumers.Wait()
+	rec.say("requests are counted from %v on", recoveryTime)
+	time.Sleep(recoveryTime)
+	after := newTally()
+	d.consumeEverywhere(after)
+	time.Sleep(20 * time.Second)
+	after.stop.Store(true)
+	after.consumers.Wait()
+	servedBefore, failedBefore := before.counts()
+	served, failed := after.counts()
+	rec.say("before: %d requests served, %d not; from %v after the fault on: %d served, %d not", servedBefore, failedBefore, recoveryTime, served, failed)
+	if servedBefore < 3*failedBefore {
+		return false, errors.New("too few requests were served before")
+	}
+	return 4*served < served+failed, nil
+}
+
+// recoveryTime is recovery_s of the site.
+const recoveryTime = 12 * time.Second
+
+// consumeEverywhere runs a writer and two readers on every machine.
+func (d *deployment) consumeEverywhere(t *tally) {
+	for i, m := range d.machines {
+		d.consume(t, m, "entry-host", func(n int) string { return fmt.Sprintf("WRITE %d data%d", 100*i+n%100, n) }, true, 200*time.Millisecond)
+		d.consume(t, m, "lookup-host", func(n int) string { return fmt.Sprintf("READ %d", n%600) }, false, 100*time.Millisecond)
+		d.consume(t, m, "progress-host", func(n int) string { return fmt.Sprintf("READ %d", n%600) }, false, 100*time.Millisecond)
+	}
+}
+
 // smuggledRequest: a machine gets SIGTERM while a consumer's write of several kilobytes is on its way in
 // an open transaction.
 func smuggledRequest(rec *record, root string, trouble bool) (bool, error) {
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -189,7 +189,7 @@
 		if stopped {
 			return
 		}
-		f.rec.say("process %s/%s ended by itself: %v", p.machine.name, p.role, err)
+		f.rec.say("process %s/%s ended: %v", p.machine.name, p.role, err)
 		time.Sleep(restartDelay)
 		p.mu.Lock()
 		stopped = p.stopped
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -32,6 +32,7 @@
 	"leaving":  leavingReplica,
 	"slow":     slowReplica,
 	"late":     latePromote,
+	"lost":     lostPrimary,
 	"smuggled": smuggledRequest,
 	"unread":   unreadableHeartbeat,
 }
