--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -144,6 +144,26 @@
 	d.group.changed.Broadcast()
 }
 
+// comeBack starts a crashed database again, with its log, and as a replica if another was promoted. It has a
+// new id, since a database under its old one would know nothing of before.
+func (d *database) comeBack(control []string) error {
+	d.group.mu.Lock()
+	if d.group.highestTerm > d.term {
+		d.primary = false
+	}
+	old := d.id
+	d.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	d.group.mu.Unlock()
+	d.group.rec.say("%s comes back with its log as %s", old, d.id)
+	if err := d.start(control); err != nil {
+		return err
+	}
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.group.replicate()
+	return nil
+}
+
 // drain reports that the database leaves.
 func (d *database) drain() {
 	d.group.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -51,6 +51,12 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	result := make(chan int, 1)
 	go func() {
+		defer func() {
+			if r := recover(); r != nil {
+				rec.say(statusOf+"the case could not run: %v", r)
+				result <- notRun
+			}
+		}()
 		isBroken, err := scenarios[os.Args[1]](rec, root, trouble)
 		switch {
 		case err != nil:
