leader: a change of what a group waits for is logged

Candidates were a leader that never asks, one that asks and is answered by a server that does not lead, and one that waits for owners.

A group's note now says that the recorded primary is not known to lead, and a change of the note within a state is logged with its evidence, once.

--- a/control/orders.go
+++ b/control/orders.go
@@ -80,10 +80,14 @@
 func (s *Server) runAction(ctx context.Context, a leader.Action) {
 	switch {
 	case a.Transition != nil:
+		message := "group changed its state"
+		if a.Transition.From == a.Transition.To {
+			message = "group changed what it waits for"
+		}
 		s.Log.WithFields(logrus.Fields{
 			"group": a.Group, "from": a.Transition.From, "to": a.Transition.To, "why": a.Transition.Reason, "evidence": a.Transition.Evidence,
 			"primary-term": s.leader.Primary(a.Group).Term, "term": s.node.Term(),
-		}).Info("group changed its state")
+		}).Info(message)
 	case a.Owners != nil:
 		s.proposeCommand("owners/"+a.Group, &wire.Command{Owners: a.Owners}, logrus.Fields{"group": a.Group, "owners": a.Owners.GetVms(), "former": a.Owners.GetFormer()})
 	case a.Server != nil:
--- a/coord/leader/announced_test.go
+++ b/coord/leader/announced_test.go
@@ -453,6 +453,29 @@
 	is.True(strings.Contains(transitions[1].Evidence, "p asked 20ms ago, does not answer"))
 }
 
+// TestUnconfirmedPrimaryIsExplained checks that a new leader says why it grants nothing on a group whose
+// primary it cannot ask, with its evidence, and says so once.
+func TestUnconfirmedPrimaryIsExplained(t *testing.T) {
+	is := is.New(t)
+	a := newFixtureWithPrimary(t)
+	a.statuses = map[string]promote.Status{}
+	a.startLeader(2)
+	var reasons []*leader.Transition
+	for range 20 {
+		for _, action := range a.leader.Tick(a.now) {
+			if action.Transition != nil {
+				reasons = append(reasons, action.Transition)
+			}
+			a.applyAction(action)
+		}
+		a.now = a.now.Add(20 * time.Millisecond)
+	}
+	is.Equal(len(reasons), 1)
+	is.Equal(reasons[0].From, promote.Steady)
+	is.Equal(reasons[0].To, promote.Steady)
+	is.True(strings.Contains(reasons[0].Reason, "not known to lead"))
+}
+
 // TestOwnersRenewSoonDuringPrimaryChange checks that owners are asked to renew early while a primary
 // is being changed, since callers wait until they learn of the next one.
 func TestOwnersRenewSoonDuringPrimaryChange(t *testing.T) {
--- a/coord/leader/groups.go
+++ b/coord/leader/groups.go
@@ -48,7 +48,7 @@
 			delete(g.servers, slot)
 		}
 	}
-	before := g.failover.State()
+	before, waitedFor := g.failover.State(), g.failover.Note()
 	if recorded := primaryOf(l.State, name); recorded.Term > 0 {
 		g.failover.ApplyRecordedPrimary(now, recorded)
 	}
@@ -61,7 +61,7 @@
 		}
 		actions = append(actions, Action{Group: name, Action: a})
 	}
-	if after := g.failover.State(); after != before {
+	if after := g.failover.State(); after != before || g.failover.Note() != waitedFor {
 		actions = append(actions, Action{Group: name, Transition: &Transition{before, after, g.failover.Note(), g.failover.Evidence(now)}})
 	}
 	if g.failover.Announced {
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -47,12 +47,12 @@
 	Owners *wire.Owners
 	// Server is the announcement to record in the replicated state.
 	Server *wire.Announcement
-	// Transition is the state change to log.
+	// Transition is the change to log.
 	Transition *Transition
 }
 
-// Transition is a change of a group's state in the chart of package promote, with its reason and
-// the evidence for it.
+// Transition is a change of a group's state in the chart of package promote, or of what the group waits
+// for within a state, with its reason and the evidence for it.
 type Transition struct {
 	From, To string
 	Reason   string
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -58,8 +58,9 @@
 
 // Notes that several states share.
 const (
-	suspectedNote = "owners cannot use the primary; asking it"
-	leavingNote   = "the primary leaves; owners finish what they began on it"
+	suspectedNote   = "owners cannot use the primary; asking it"
+	leavingNote     = "the primary leaves; owners finish what they began on it"
+	unconfirmedNote = "the recorded primary is not known to lead; its term is not granted"
 )
 
 // Health is the assessment of a primary that an owner reports to the control leader.
@@ -349,6 +350,9 @@
 	if g.primary.Term == 0 {
 		return g.tickBootstrap(now)
 	}
+	if g.Announced && !g.confirmed {
+		g.note = unconfirmedNote
+	}
 	if g.suspected(now) && !now.Before(g.holdoffUntil) {
 		g.note = suspectedNote
 		g.transition(now, "suspected")
