promote: a primary that is down while no lease runs is replaced

Cause: a new control leader grants the term of an announced group only once its recorded primary is known to lead. If every lease has ended, only an answer of that primary can show it. Without a lease no owner looks at the primary (runner's hadLease), so no observation reaches the leader, and steady has no other way to checking. Ruled out: a leader that never asks (its queries are sent every 250 ms), owners that hold back reports they have.

Change: in steady, a recorded primary that is not known to lead, has left the leader's queries unanswered for 1.5 s and whose term no owner can hold any more is suspected by the leader itself. The rest is as for one that owners suspect: it is asked once more, leases are waited for, every server is asked, the highest position is promoted. A primary that answers, as a replica that awaits its order or as a primary, stays, and so does one that an owner holds a lease on.

TestPrimaryLostWhileNoLeaseRuns fails without the change in both cases (no promotion in 4 s). TestPrimaryThatOwnersReachStays guards the other side.

--- a/coord/leader/announced_test.go
+++ b/coord/leader/announced_test.go
@@ -306,6 +306,55 @@
 	is.Equal(grant.GetTerm(), uint64(7))
 }
 
+// TestPrimaryLostWhileNoLeaseRuns guards against a group that stays without a primary because its own was
+// lost together with every lease, so that no owner can report it. Whether the owner comes back or not, the
+// replica is promoted, but not before a lease of the earlier leader may have ended.
+func TestPrimaryLostWhileNoLeaseRuns(t *testing.T) {
+	for name, ownerIsBack := range map[string]bool{"owner restarted": true, "owner lost": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := newFixtureWithPrimary(t)
+			delete(a.statuses, "p")
+			a.startLeader(2)
+			each := func() {
+				a.announce("r", "10.0.0.2:1", 5, uint64(a.now.UnixMilli()), false)
+				vm := "e1"
+				if !ownerIsBack {
+					vm = "e2"
+				}
+				a.renew(vm)
+			}
+			if !ownerIsBack {
+				a.run(2*time.Second, each)
+				is.Equal(len(a.promotedSlots), 0) // e1 may still hold its lease
+			}
+			a.run(4*time.Second, each)
+			is.True(len(a.promotedSlots) > 0)
+			is.Equal(a.promotedSlots[0], "r")
+			a.setStatus("r", true, 8, 101)
+			a.run(3*time.Second, each)
+			grant, _ := a.renew("e1")
+			if !ownerIsBack {
+				grant, _ = a.renew("e2")
+			}
+			is.True(grant.GetTerm() > 7)
+		})
+	}
+}
+
+// TestPrimaryThatOwnersReachStays checks that a new leader that cannot reach the primary itself does not
+// replace it as long as an owner holds its term.
+func TestPrimaryThatOwnersReachStays(t *testing.T) {
+	is := is.New(t)
+	a := newFixtureWithPrimary(t)
+	delete(a.statuses, "p")
+	a.startLeader(2)
+	a.run(10*time.Second, func() { a.renew("e1", &wire.Holding{Group: "g", Term: 7, Connections: 5}) })
+	is.Equal(len(a.promotedSlots), 0)
+	grant, _ := a.renew("e1", &wire.Holding{Group: "g", Term: 7, Connections: 5})
+	is.Equal(grant.GetTerm(), uint64(7))
+}
+
 // TestWithdrawnLeaveEndsNotice checks that owners renew as before once a primary stays after all.
 func TestWithdrawnLeaveEndsNotice(t *testing.T) {
 	is := is.New(t)
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -52,6 +52,9 @@
 	// primary; maxClears is how often that may happen in a term.
 	clearedHoldoff   = 2 * time.Second
 	maxClearedChecks = 3
+	// confirmTimeout is how long a recorded primary that is not known to lead may leave the leader's
+	// queries unanswered. It covers several of them, and a leader's start under the renewals of all VMs.
+	confirmTimeout = 1500 * time.Millisecond
 	// closingTimeout is how long requests in flight may delay the replacement of a leaving primary.
 	closingTimeout = 30 * time.Second
 )
@@ -61,6 +64,7 @@
 	suspectedNote   = "owners cannot use the primary; asking it"
 	leavingNote     = "the primary leaves; owners finish what they began on it"
 	unconfirmedNote = "the recorded primary is not known to lead; its term is not granted"
+	silentNote      = "the recorded primary does not answer and no owner holds its term; asking it"
 )
 
 // Health is the assessment of a primary that an owner reports to the control leader.
@@ -167,6 +171,8 @@
 	// confirmed is set once the recorded primary is known to lead its term. A leader may have recorded
 	// it and then lost its own term before the order.
 	confirmed bool
+	// primaryAnswered is when the last query was sent that the recorded primary has answered.
+	primaryAnswered time.Time
 	// leavingSince is when the primary was found to be leaving, or zero.
 	leavingSince time.Time
 }
@@ -239,7 +245,10 @@
 	}
 	if old, ok := g.statuses[s.Slot]; !ok || old.QueriedAt.Before(s.QueriedAt) {
 		g.statuses[s.Slot] = s
-		g.confirmed = g.confirmed || s.Slot == g.primary.Slot && !s.QueriedAt.Before(g.enteredAt) && g.leads(s)
+		if s.Slot == g.primary.Slot && s.Incarnation != "" {
+			g.primaryAnswered = s.QueriedAt
+			g.confirmed = g.confirmed || !s.QueriedAt.Before(g.enteredAt) && g.leads(s)
+		}
 	}
 }
 
@@ -262,6 +271,7 @@
 	g.primary = p
 	if newTerm {
 		g.confirmed = false
+		g.primaryAnswered = time.Time{}
 		g.observations = nil
 		g.clearedChecks = 0
 		g.loadHandover = false
@@ -277,6 +287,7 @@
 	g.enteredAt = now
 	g.loadHandover = false
 	g.confirmed = false
+	g.primaryAnswered = time.Time{}
 }
 
 // PromotionRefused records that the server in the primary's slot refused for good to lead the
@@ -316,7 +327,7 @@
 	}
 	switch g.state {
 	case Steady:
-		return g.tickSteady(now)
+		return g.tickSteady(now, fenced)
 	case Checking:
 		return g.tickChecking(now)
 	case Closing:
@@ -345,13 +356,18 @@
 	g.state = next
 }
 
-func (g *Group) tickSteady(now time.Time) []Action {
+func (g *Group) tickSteady(now time.Time, fenced bool) []Action {
 	g.note = ""
 	if g.primary.Term == 0 {
 		return g.tickBootstrap(now)
 	}
 	if g.Announced && !g.confirmed {
 		g.note = unconfirmedNote
+		if fenced && g.silent(now) {
+			g.note = silentNote
+			g.transition(now, "suspected")
+			return g.query(now)
+		}
 	}
 	if g.suspected(now) && !now.Before(g.holdoffUntil) {
 		g.note = suspectedNote
@@ -384,6 +400,12 @@
 	return actions
 }
 
+// silent reports whether the recorded primary has left the leader's queries unanswered. While no owner
+// holds its term, nobody else can tell that it has failed.
+func (g *Group) silent(now time.Time) bool {
+	return now.Sub(g.enteredAt) >= confirmTimeout && now.Sub(g.primaryAnswered) >= confirmTimeout
+}
+
 // reportedUnusable reports whether any owner recently found the primary unusable.
 func (g *Group) reportedUnusable(now time.Time) bool {
 	for vm := range g.ownerDomains {
@@ -437,7 +459,6 @@
 }
 
 func (g *Group) tickChecking(now time.Time) []Action {
-	g.note = suspectedNote
 	s, ok := g.statuses[g.primary.Slot]
 	fresh := ok && !s.QueriedAt.Before(g.enteredAt)
 	if fresh && g.healthy(s) && g.clearedChecks < maxClearedChecks {
