promote: a group whose first primary is lost gets a replica in its place

Callers of a database-group whose primary was lost before any control leader had recorded it got refusals until an operator promoted one on the platform.

Cause: tickBootstrap records only a server that leads. If a majority of the slots answers and none leads, it asks again, for ever.

Change: once that has lasted for 5 s, an announced group records its replica with the highest position, and the platform is ordered to promote it. A primary that starts announces itself well within 5 s; should one be late all the same, nothing was acknowledged through the system before a first primary is recorded. Groups with configured slots wait as before, since their operators name the first primary.

TestEveryGroupRecovers plays crashes, losses for good, cuts, drains, changes of the leader, restarts of owners and outages of the platform in virtual time and asks for a usable primary 12 s after the last. TestGroupWithoutPrimaryGetsOne fails without this change.

--- a/coord/promote/choose.go
+++ b/coord/promote/choose.go
@@ -15,29 +15,47 @@
 	// announcedFollowerWait is how long a choice waits for the last replicas of an announced group,
 	// since the writes that only a missing replica holds may be lost.
 	announcedFollowerWait = 300 * time.Millisecond
+	// firstPrimaryWait is how long a primary that no leader has recorded may take to answer once a
+	// majority has. A server that starts announces itself well within it.
+	firstPrimaryWait = 5 * time.Second
 	// handoverCatchUpWait is how long replicas may take to receive what a reachable primary holds.
 	handoverCatchUpWait = 800 * time.Millisecond
 )
 
-// tickBootstrap records the first primary of a group once a majority of its slots has answered.
+// tickBootstrap records the first primary of a group once a majority of its slots has answered. If none
+// of them leads, an announced group gets one of its replicas after firstPrimaryWait.
 func (g *Group) tickBootstrap(now time.Time) []Action {
 	g.note = "waiting for a primary and a majority of the slots to answer"
 	incarnations := map[string]string{}
-	var primary *Status
-	for slot, s := range g.statuses {
-		if now.Sub(s.QueriedAt) > repairInterval || s.Incarnation == "" {
+	var primaries, replicas []Status
+	for _, slot := range g.Slots {
+		s, ok := g.statuses[slot]
+		if !ok || now.Sub(s.QueriedAt) > repairInterval || s.Incarnation == "" {
 			continue
 		}
 		incarnations[slot] = s.Incarnation
-		if s.Primary && (primary == nil || primary.Position.Less(s.Position)) {
-			primary = &s
+		if s.Primary {
+			primaries = append(primaries, s)
+		} else {
+			replicas = append(replicas, s)
 		}
 	}
-	if primary == nil || len(incarnations) <= len(g.Slots)/2 {
+	if len(incarnations) <= len(g.Slots)/2 {
+		g.withoutPrimary = time.Time{}
 		return g.query(now)
 	}
-	first := Primary{Term: max(1, primary.Term), Slot: primary.Slot, Incarnations: incarnations}
-	return []Action{{Record: &first}}
+	candidates := primaries
+	if len(primaries) == 0 {
+		if g.withoutPrimary.IsZero() {
+			g.withoutPrimary = now
+		}
+		if !g.Announced || now.Sub(g.withoutPrimary) < firstPrimaryWait {
+			return g.query(now)
+		}
+		candidates = g.excludeLeaving(replicas)
+	}
+	first, _ := g.chooseStatus(candidates)
+	return []Action{{Record: &Primary{Term: max(1, first.Term), Slot: first.Slot, Incarnations: incarnations}}}
 }
 
 // tickChoosing chooses the highest position of a majority of the slots, queried after fencing
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -173,6 +173,9 @@
 	confirmed bool
 	// primaryAnswered is when the last query was sent that the recorded primary has answered.
 	primaryAnswered time.Time
+	// withoutPrimary is since when a majority of the slots has answered and none of them leads, while no
+	// primary is recorded.
+	withoutPrimary time.Time
 	// leavingSince is when the primary was found to be leaving, or zero.
 	leavingSince time.Time
 }
