announcement: announcements that no server sends are refused

Cause: the id comes from the path of a request and went unchecked into strings of the directory. A string that is not UTF-8 cannot be encoded, so every renewal that carries the group failed, and the packed directory panicked. Addresses were checked for a colon only, numbers for 64 bits only.

Change: coord/announcement checks an announcement where it arrives and in the control leader. Announced servers that run no statement at a time are refused as well.

--- a/control/service.go
+++ b/control/service.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"trefoilcourse/coord/announcement"
 	"trefoilcourse/coord/raft"
 	"trefoilcourse/coord/state"
 	"trefoilcourse/wire"
@@ -249,8 +250,11 @@
 }
 
 // ReceiveAnnouncement handles a backend server's announcement; if this VM does not lead, it returns
-// the leader's address.
-func (s *Server) ReceiveAnnouncement(ctx context.Context, a *wire.Announcement) (leading bool, leaderAddress string) {
+// the leader's address. An announcement that no server sends is a *announcement.Error.
+func (s *Server) ReceiveAnnouncement(ctx context.Context, a *wire.Announcement) (leading bool, leaderAddress string, err error) {
+	if err := announcement.Check(a); err != nil {
+		return false, "", err
+	}
 	ok := s.runInLoop(ctx, func(now time.Time) {
 		if leading = s.leading(now); leading {
 			s.leader.ReceiveAnnouncement(now, a)
@@ -258,7 +262,7 @@
 			leaderAddress = s.leaderAddress()
 		}
 	})
-	return ok && leading, leaderAddress
+	return ok && leading, leaderAddress, nil
 }
 
 // Publish publishes a configuration like the Control.Publish call.
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"trefoilcourse/coord/announcement"
 	"trefoilcourse/coord/config"
 	"trefoilcourse/coord/directory"
 	"trefoilcourse/coord/lease"
@@ -249,10 +250,10 @@
 	}
 }
 
-// applyAnnouncement stores a server's announcement unless its group or slot is unknown.
+// applyAnnouncement stores a server's announcement unless it is invalid, or its group or slot is unknown.
 func (l *Leader) applyAnnouncement(now time.Time, a *wire.Announcement) {
 	g := l.groups[a.GetGroup()]
-	if g == nil || g.failover.Announced && !g.acceptAnnouncement(a) {
+	if announcement.Check(a) != nil || g == nil || g.failover.Announced && !g.acceptAnnouncement(a) {
 		return
 	}
 	if !slices.Contains(g.failover.Slots, a.GetSlot()) {
