control: a start on a full disk is no dead end

Cause: opening the data folder always committed a transaction, which a full disk refuses. Server.Run then ended with an error, but runControl went on serving HTTP, and a call waits for a loop that never begins: runThrough watches its context only until the call is queued.

Change: opening reads a folder that has all it needs and writes to a new one only. A call ends with its context unless it has begun, and a publish or a read of the configuration has one.

Ruled out: full disks in turn without a restart.

--- a/control/disk_test.go
+++ b/control/disk_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +101,55 @@
 	<-stuck
 	until(t, func() bool { return publish(s, 3) })
 }
+
+// TestDisksFullInTurn fills the disks of three control VMs one after the other, never two at once, with a
+// change sent during each and after it: each change is accepted in the end, and so is one after the last.
+func TestDisksFullInTurn(t *testing.T) {
+	is := is.New(t)
+	var servers []*control.Server
+	var disks []*faulty
+	peers := map[string]string{}
+	var listeners []net.Listener
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		listeners = append(listeners, listener)
+		peers[fmt.Sprintf("c%d", i)] = listener.Addr().String()
+	}
+	for i, listener := range listeners {
+		store, err := disk.Open(t.TempDir())
+		is.NoErr(err)
+		disks = append(disks, &faulty{Store: store})
+		server := &control.Server{
+			Settings: control.Settings{VM: fmt.Sprintf("c%d", i), Listen: listener.Addr().String(), DataFolder: "unused", Peers: peers},
+			Listener: listener, Log: quiet(), Store: disks[i],
+		}
+		servers = append(servers, server)
+		stop := run(t, server)
+		t.Cleanup(stop)
+	}
+	number := uint64(0)
+	change := func() {
+		number++
+		r := &wire.PublishRequest{Id: fmt.Sprint("change ", number), Number: number, Document: []byte("{}")}
+		until(t, func() bool {
+			return slices.ContainsFunc(servers, func(s *control.Server) bool {
+				answer, err := s.Publish(r)
+				return err == nil && answer.GetResult().GetAccepted()
+			})
+		})
+	}
+	change()
+	for turn := range 4 {
+		disks[turn%3].full.Store(true)
+		change()
+		disks[turn%3].full.Store(false)
+		change()
+	}
+	for _, s := range servers {
+		until(t, func() bool {
+			answer, err := s.Configuration()
+			return err == nil && (answer.GetLeading() || answer.GetLeaderAddress() != "")
+		})
+	}
+}
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -38,3 +38,6 @@
 	}
 	p.run(ctx)
 }
+
+// SetOpen replaces what opens the data folder.
+func (s *Server) SetOpen(open func(folder string) (Store, error)) { s.open = open }
--- a/control/internal/disk/store.go
+++ b/control/internal/disk/store.go
@@ -9,6 +9,7 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	bolt "go.etcd.io/bbolt"
@@ -38,8 +39,12 @@
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 )
 
-// ErrChecksum means that a stored value is corrupted.
-var ErrChecksum = errors.New("checksum does not match")
+var (
+	// ErrChecksum means that a stored value is corrupted.
+	ErrChecksum = errors.New("checksum does not match")
+	// ErrNotWritable means that the disk refuses to be written, as a full one does; that can pass.
+	ErrNotWritable = errors.New("disk cannot be written")
+)
 
 // Store is an open data folder.
 type Store struct {
@@ -47,10 +52,11 @@
 	incarnation string
 }
 
-// Open opens or creates the data folder; it fails if another process has the folder open.
+// Open opens or creates the data folder; it fails if another process has the folder open. It writes only
+// to a new folder, so that a VM starts on a full disk. The error is ErrNotWritable if that failed.
 func Open(folder string) (*Store, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, err
+		return nil, refusedWrite(err)
 	}
 	path := filepath.Join(folder, fileName)
 	db, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
@@ -58,7 +64,7 @@
 		return nil, fmt.Errorf("data folder %s is in use by another process", folder)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("open data folder %s: %w", folder, err)
+		return nil, fmt.Errorf("open data folder %s: %w", folder, refusedWrite(err))
 	}
 	s := &Store{db: db}
 	if err := s.prepare(); err != nil {
@@ -74,8 +80,32 @@
 // Close releases the data folder.
 func (s *Store) Close() error { return s.db.Close() }
 
+// refusedWrite marks the errors of a disk that refuses to be written.
+func refusedWrite(err error) error {
+	for _, refusal := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO} {
+		if errors.Is(err, refusal) {
+			return fmt.Errorf("%w: %w", ErrNotWritable, err)
+		}
+	}
+	return err
+}
+
+// prepare reads the incarnation, or creates what a new folder needs.
 func (s *Store) prepare() error {
-	return s.db.Update(func(tx *bolt.Tx) error {
+	err := s.db.View(func(tx *bolt.Tx) error {
+		state := tx.Bucket(bucketState)
+		if state == nil {
+			return nil
+		}
+		value, err := get(state, keyIncarnation)
+		s.incarnation = string(value)
+		return err
+	})
+	if err != nil || s.incarnation != "" {
+		return err
+	}
+	incarnation := newIncarnation()
+	err = s.db.Update(func(tx *bolt.Tx) error {
 		if _, err := tx.CreateBucketIfNotExists(bucketLog); err != nil {
 			return err
 		}
@@ -83,19 +113,13 @@
 		if err != nil {
 			return err
 		}
-		value, err := get(state, keyIncarnation)
-		if err != nil {
-			return err
-		}
-		if value == nil {
-			value = newIncarnation()
-			if err := put(state, keyIncarnation, value); err != nil {
-				return err
-			}
-		}
-		s.incarnation = string(value)
-		return nil
+		return put(state, keyIncarnation, incarnation)
 	})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotWritable, err)
+	}
+	s.incarnation = string(incarnation)
+	return nil
 }
 
 func newIncarnation() []byte {
--- a/control/internal/disk/store_test.go
+++ b/control/internal/disk/store_test.go
@@ -53,6 +53,23 @@
 	is.Equal(len(stored.Entries), 2)
 }
 
+// TestOpenWritesNothing guards against a VM that cannot start while its disk is full although its folder has
+// all that it needs.
+func TestOpenWritesNothing(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	filled(t, folder)
+	path := filepath.Join(folder, "agreement.db")
+	before, err := os.ReadFile(path)
+	is.NoErr(err)
+	store, err := disk.Open(folder)
+	is.NoErr(err)
+	is.NoErr(store.Close())
+	after, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.True(bytes.Equal(before, after))
+}
+
 func TestOneProcess(t *testing.T) {
 	is := is.New(t)
 	folder := t.TempDir()
--- a/control/server.go
+++ b/control/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -72,14 +74,17 @@
 	// Log receives log entries; nil means the standard logger.
 	Log logrus.FieldLogger
 
+	// open opens the data folder; tests replace it.
+	open  func(folder string) (Store, error)
 	once  sync.Once
 	calls chan func(now time.Time)
 	// agreementCalls run before calls, so that renewals never delay heartbeats and votes.
 	agreementCalls chan func(now time.Time)
 	// loopDone is closed when the loop has ended and accepts no more calls.
-	loopDone chan struct{}
-	traffic  protorpc.Traffic
-	metrics  *metrics
+	loopDone  chan struct{}
+	closeLoop func()
+	traffic   protorpc.Traffic
+	metrics   *metrics
 
 	store          Store
 	node           *raft.Node
@@ -117,6 +122,10 @@
 		s.agreementCalls = make(chan func(now time.Time), 256)
 		s.saveResult = make(chan error, 1)
 		s.loopDone = make(chan struct{})
+		s.closeLoop = sync.OnceFunc(func() { close(s.loopDone) })
+		if s.open == nil {
+			s.open = openFolder
+		}
 		s.metrics = newMetrics(s.Settings.VM)
 		if s.Log == nil {
 			s.Log = logrus.StandardLogger()
@@ -145,9 +154,10 @@
 }
 
 // Run serves until ctx ends; it returns an error for settings that cannot work, and for a data folder
-// or stored state that cannot be read.
+// or stored state that cannot be read. It waits while a new data folder cannot be written.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
+	defer s.closeLoop()
 	if err := s.Settings.Check(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -157,8 +167,8 @@
 	case s.diskless:
 		s.store = disklessStore{}
 	case s.store == nil:
-		opened, err := disk.Open(s.Settings.DataFolder)
-		if err != nil {
+		opened, err := s.awaitFolder(ctx)
+		if err != nil || opened == nil {
 			return trace.Wrap(err)
 		}
 		s.store = opened
@@ -176,6 +186,30 @@
 	return err
 }
 
+func openFolder(folder string) (Store, error) { return disk.Open(folder) }
+
+// awaitFolder opens the data folder, again and again while the disk refuses to be written; it returns nil
+// if ctx ends first.
+func (s *Server) awaitFolder(ctx context.Context) (Store, error) {
+	for attempts := 1; ; attempts++ {
+		store, err := s.open(s.Settings.DataFolder)
+		if !errors.Is(err, disk.ErrNotWritable) {
+			if err == nil && attempts > 1 {
+				s.Log.WithField("attempts", attempts).Info("data folder opened after failures")
+			}
+			return store, err
+		}
+		if attempts == 1 {
+			s.Log.WithError(err).Error("cannot write to the data folder; this VM starts once it can")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(saveRetryDelay):
+		}
+	}
+}
+
 func (s *Server) restart(now time.Time) error {
 	stored, err := s.store.Load()
 	if err != nil {
@@ -228,7 +262,7 @@
 		case <-time.After(shutdownSaveTimeout):
 		}
 	}
-	close(s.loopDone)
+	s.closeLoop()
 	cancel()
 	_ = listener.Close()
 	<-accepting
@@ -286,8 +320,11 @@
 // runThrough is runInLoop for a given queue of calls.
 func (s *Server) runThrough(ctx context.Context, calls chan<- func(now time.Time), f func(now time.Time)) bool {
 	done := make(chan struct{})
+	var begun atomic.Bool
 	call := func(now time.Time) {
-		f(now)
+		if begun.CompareAndSwap(false, true) {
+			f(now)
+		}
 		close(done)
 	}
 	select {
@@ -298,6 +335,16 @@
 		return false
 	}
 	select {
+	case <-done:
+		return true
+	case <-s.loopDone:
+		return false
+	case <-ctx.Done():
+		if begun.CompareAndSwap(false, true) {
+			return false
+		}
+	}
+	select {
 	case <-done:
 		return true
 	case <-s.loopDone:
--- a/control/service.go
+++ b/control/service.go
@@ -17,9 +17,14 @@
 	"trefoilcourse/wire/protorpc"
 )
 
-const publishTimeout = 3 * time.Second
+const (
+	publishTimeout = 3 * time.Second
+	// readTimeout is how long a read of the configuration waits for a VM that cannot serve yet; callers
+	// try another after a second.
+	readTimeout = time.Second
+)
 
-var errStopping = errors.New("this control VM is stopping")
+var errStopping = errors.New("this control VM is stopping or has not started")
 
 // accept serves connections of the system's processes until the listener is closed.
 func (s *Server) accept(ctx context.Context, listener net.Listener) error {
@@ -142,7 +147,9 @@
 		return nil
 	}
 	waiter := make(chan *wire.PublishResult, 1)
-	ok := s.runInLoop(context.Background(), func(now time.Time) { s.propose(now, r, answer, waiter) })
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	ok := s.runInLoop(ctx, func(now time.Time) { s.propose(now, r, answer, waiter) })
 	if !ok {
 		return errStopping
 	}
@@ -154,7 +161,7 @@
 		return nil
 	case <-s.loopDone:
 		return errStopping
-	case <-time.After(publishTimeout):
+	case <-ctx.Done():
 		return errors.New("the outcome is not known yet; send the same publish id again")
 	}
 }
@@ -181,7 +188,9 @@
 // Configuration returns the objects in force and the history.
 func (c *controlService) Configuration(_ *wire.ConfigurationRequest, answer *wire.ConfigurationResponse) error {
 	s := c.s
-	ok := s.runInLoop(context.Background(), func(now time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	ok := s.runInLoop(ctx, func(now time.Time) {
 		if !s.leading(now) {
 			answer.LeaderAddress = s.leaderAddress()
 			return
