promote: the next primary holds what synchronous replicas acknowledged

Cause: nobody read the setting. The choice leaves out leaving servers as long as another one answers, whatever they hold; it goes on after 0.3 s without replicas that have not answered; and after a late order it leaves out the server that was ordered.

Change: a group with synchronous replicas records a server only if it certainly holds every acknowledged write: it is as far as all replicas that answer while fewer than the setting are missing, or as far as the last primary that led. Otherwise the leader asks on and says why. Groups without synchronous replicas choose as before. A recorded primary that never led is no longer listed for ever while another is chosen, since it would count as missing.

Without the rule TestLeavingReplicaWithAcknowledgedWrites, TestSlowReplicaWithAcknowledgedWrites and TestLateOrderKeepsAcknowledgedWrites fail.

--- a/coord/leader/groups.go
+++ b/coord/leader/groups.go
@@ -41,7 +41,9 @@
 	for slot, s := range g.servers {
 		switch {
 		case g.failover.Announced:
-			if now.Sub(s.lastHeard) > announcedServerTimeout && slot != g.failover.Primary().Slot {
+			// Owners may still use a recorded primary that only the control VMs cannot hear.
+			inUse := slot == g.failover.Primary().Slot && g.failover.State() != promote.Choosing
+			if now.Sub(s.lastHeard) > announcedServerTimeout && !inUse {
 				g.dropServer(slot)
 			}
 		case now.Sub(s.lastHeard) > serverTimeout:
--- a/coord/leader/leader.go
+++ b/coord/leader/leader.go
@@ -164,6 +164,7 @@
 			l.groups[name].failover.Restart(now, primaryOf(l.State, name))
 		}
 		l.groups[name].failover.Announced = g.Announced
+		l.groups[name].failover.SynchronousReplicas = g.SynchronousReplicas
 		if g.Announced && !l.groups[name].recordedStateLoaded {
 			l.loadRecordedState(now, name, l.groups[name])
 		}
--- a/coord/promote/choose.go
+++ b/coord/promote/choose.go
@@ -86,6 +86,12 @@
 		g.note = fmt.Sprintf("slot %q, which an operator chose, does not hold every acknowledged write", g.forcedSlot)
 		return g.query(now)
 	}
+	if !g.acceptLoss && !g.holdsAcknowledged(best, statuses) {
+		if best, _ = g.chooseStatus(statuses); !g.holdsAcknowledged(best, statuses) {
+			g.note = "a replica that does not answer may hold acknowledged writes that no other has"
+			return g.query(now)
+		}
+	}
 	next := Primary{
 		Term:         max(g.primary.Term, highestTerm(statuses)) + 1,
 		Slot:         best.Slot,
--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -144,6 +144,9 @@
 	// the primary only and are promoted by their platform, which chooses the term: the recorded
 	// term orders changes, and the servers' terms are compared only with one another.
 	Announced bool
+	// SynchronousReplicas is how many replicas of an announced group have received a write before its
+	// primary acknowledges it.
+	SynchronousReplicas int
 	// Notice is the time between learning that the primary leaves and closing it, in which the owners
 	// start to ask often; those that hear of the closing first refuse work until the last one has.
 	Notice time.Duration
@@ -171,6 +174,8 @@
 	// confirmed is set once the recorded primary is known to lead its term. A leader may have recorded
 	// it and then lost its own term before the order.
 	confirmed bool
+	// lastLeader is the slot of the last primary that may have acknowledged writes.
+	lastLeader string
 	// primaryAnswered is when the last query was sent that the recorded primary has answered.
 	primaryAnswered time.Time
 	// withoutPrimary is since when a majority of the slots has answered and none of them leads, while no
@@ -250,18 +255,26 @@
 		g.statuses[s.Slot] = s
 		if s.Slot == g.primary.Slot && s.Incarnation != "" {
 			g.primaryAnswered = s.QueriedAt
-			g.confirmed = g.confirmed || !s.QueriedAt.Before(g.enteredAt) && g.leads(s)
+			if !s.QueriedAt.Before(g.enteredAt) && g.leads(s) {
+				g.confirm()
+			}
 		}
 	}
 }
 
+// confirm records that the recorded primary leads its term, so that owners may acknowledge its writes.
+func (g *Group) confirm() {
+	g.confirmed = true
+	g.lastLeader = g.primary.Slot
+}
+
 // ConfirmTerm records that an owner holds a lease for a term and reports whether that is news: an
 // earlier leader granted it once the primary led.
 func (g *Group) ConfirmTerm(term uint64) bool {
 	if g.confirmed || term == 0 || term != g.primary.Term {
 		return false
 	}
-	g.confirmed = true
+	g.confirm()
 	return true
 }
 
@@ -271,6 +284,10 @@
 		return
 	}
 	newTerm := p.Term > g.primary.Term
+	if g.primary.Term == 0 {
+		// Nothing was acknowledged before the first primary.
+		g.lastLeader = p.Slot
+	}
 	g.primary = p
 	if newTerm {
 		g.confirmed = false
@@ -283,9 +300,11 @@
 }
 
 // Restart resets the state for a new control leader. An order that an earlier leader recorded and
-// did not carry out is repeated once a status shows that it is missing.
+// did not carry out is repeated once a status shows that it is missing. Until then the recorded primary
+// counts as the last leader: if it never led, the one before it is among the other slots.
 func (g *Group) Restart(now time.Time, p Primary) {
 	g.primary = p
+	g.lastLeader = p.Slot
 	g.state = stateChart.Initial()
 	g.enteredAt = now
 	g.loadHandover = false
--- a/coord/promote/order.go
+++ b/coord/promote/order.go
@@ -9,7 +9,7 @@
 	g.note = fmt.Sprintf("ordering slot %q to lead term %d", g.primary.Slot, g.primary.Term)
 	s, ok := g.statuses[g.primary.Slot]
 	if ok && !s.QueriedAt.Before(g.enteredAt) && g.leads(s) {
-		g.confirmed = true
+		g.confirm()
 		g.transition(now, "promoted")
 		g.note = ""
 		return g.repair(now)
--- a/coord/promote/promote_test.go
+++ b/coord/promote/promote_test.go
@@ -190,3 +190,86 @@
 	g.Tick(at(1630), false)
 	is.Equal(g.State(), promote.Steady)
 }
+
+// newSynchronousGroup returns an announced group whose writes one replica has received before they are
+// acknowledged; its primary a is found dead and fenced at 50 ms.
+func newSynchronousGroup() *promote.Group {
+	g := newGroup()
+	g.Announced, g.SynchronousReplicas = true, 1
+	g.UpdateStatus(newStatus("a", "1", 5, 100))
+	reportUnreachable(g, 10, "e1", "e2", "e3")
+	g.Tick(at(20), false)
+	g.UpdateStatus(promote.Status{Slot: "a", QueriedAt: at(25)})
+	g.Tick(at(30), false)
+	g.Tick(at(50), true)
+	return g
+}
+
+// TestLeavingReplicaWithAcknowledgedWrites guards against a choice that passes over the one replica that has
+// received what the primary acknowledged, because it is about to stop.
+func TestLeavingReplicaWithAcknowledgedWrites(t *testing.T) {
+	is := is.New(t)
+	g := newSynchronousGroup()
+	leaving := newStatus("b", "1", 40, 300)
+	leaving.Leaving = true
+	g.UpdateAnnouncement(leaving)
+	g.UpdateStatus(newStatus("b", "1", 60, 300))
+	g.UpdateStatus(newStatus("c", "1", 60, 200))
+	chosen := recordedPrimary(g.Tick(at(400), true))
+	is.True(chosen != nil)
+	is.Equal(chosen.Slot, "b")
+
+	g = newSynchronousGroup()
+	g.UpdateAnnouncement(leaving)
+	g.UpdateStatus(newStatus("b", "1", 60, 300))
+	g.UpdateStatus(newStatus("c", "1", 60, 300))
+	is.Equal(recordedPrimary(g.Tick(at(400), true)).Slot, "c") // it holds as much and stays
+}
+
+// TestSlowReplicaWithAcknowledgedWrites guards against a choice without the one replica that has received
+// what the primary acknowledged, because it answers late.
+func TestSlowReplicaWithAcknowledgedWrites(t *testing.T) {
+	is := is.New(t)
+	g := newSynchronousGroup()
+	g.UpdateStatus(newStatus("c", "1", 60, 200))
+	for ms := 400; ms < 5000; ms += 100 {
+		is.Equal(recordedPrimary(g.Tick(at(ms), true)), nil)
+	}
+	is.True(g.Note() != "")
+	g.UpdateStatus(newStatus("b", "1", 5000, 300))
+	is.Equal(recordedPrimary(g.Tick(at(5010), true)).Slot, "b")
+
+	g = newSynchronousGroup()
+	g.UpdateStatus(newStatus("c", "1", 60, 200))
+	is.NoErr(g.ForceFailover(at(400), "", true))
+	is.Equal(recordedPrimary(g.Tick(at(500), true)).Slot, "c") // an operator accepts the loss
+
+	g = newSynchronousGroup()
+	g.UpdateStatus(newStatus("c", "1", 60, 200))
+	g.UpdateStatus(newStatus("a", "1", 60, 200))
+	is.Equal(recordedPrimary(g.Tick(at(1000), true)).Slot, "c") // as far as the old primary itself
+}
+
+// TestLateOrderKeepsAcknowledgedWrites guards against a second choice that passes over the replica that was
+// chosen for what it holds and did not lead in time.
+func TestLateOrderKeepsAcknowledgedWrites(t *testing.T) {
+	is := is.New(t)
+	g := newSynchronousGroup()
+	replica := func(slot string, ms int, offset uint64) {
+		s := newStatus(slot, "1", ms, offset)
+		s.Primary = false
+		g.UpdateStatus(s)
+	}
+	replica("b", 60, 300)
+	replica("c", 60, 200)
+	chosen := recordedPrimary(g.Tick(at(400), true))
+	is.Equal(chosen.Slot, "b")
+	g.ApplyRecordedPrimary(at(410), *chosen)
+	g.Tick(at(420), true)
+	g.Tick(at(4500), true) // the order is late
+	is.Equal(g.State(), promote.Fencing)
+	g.Tick(at(4510), true)
+	replica("b", 4520, 300)
+	replica("c", 4520, 200)
+	is.Equal(recordedPrimary(g.Tick(at(5400), true)).Slot, "b")
+}
