promote: a server that is slow to be promoted is not replaced while it runs

Cause: tickOrdering gave up a server 4 s after its order and had another one ordered, though the platform could still carry out the first order. Each order then took effect in turn, and the leader took the earlier server for the one that it had ordered last.

Change: an announced server is given up only if it has also left the leader's queries unanswered for 1.5 s. One that answers is ordered again until it leads or the platform refuses for good.

TestLatePromotionIsNotReplaced fails without the change (a second server is recorded after 4 s).

--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -45,15 +45,15 @@
 	orderTimeout = 1500 * time.Millisecond
 	// orderInterval is the time after which an order to a platform is repeated.
 	orderInterval = 1500 * time.Millisecond
-	// announcedOrderTimeout replaces orderTimeout for announced groups: a platform may be slow to
-	// promote a server, and a second choice takes as long again.
+	// announcedOrderTimeout replaces orderTimeout for announced groups, if the server does not answer: a
+	// platform may be slow to promote a server, and a second choice takes as long again.
 	announcedOrderTimeout = 4 * time.Second
 	// clearedHoldoff is how long the owners' observations are ignored after a check has cleared the
 	// primary; maxClears is how often that may happen in a term.
 	clearedHoldoff   = 2 * time.Second
 	maxClearedChecks = 3
 	// confirmTimeout is how long a recorded primary that is not known to lead may leave the leader's
-	// queries unanswered. It covers several of them, and a leader's start under the renewals of all VMs.
+	// queries unanswered before it counts as silent. It covers several of them, and a leader's start under the renewals of all VMs.
 	confirmTimeout = 1500 * time.Millisecond
 	// closingTimeout is how long requests in flight may delay the replacement of a leaving primary.
 	closingTimeout = 30 * time.Second
--- a/coord/promote/order.go
+++ b/coord/promote/order.go
@@ -15,11 +15,13 @@
 		return g.repair(now)
 	}
 	wiped := !g.Announced && ok && !s.QueriedAt.Before(g.enteredAt) && s.Incarnation != "" && !g.isAdmitted(s)
-	limit := orderTimeout
+	late := now.Sub(g.enteredAt) >= orderTimeout
 	if g.Announced {
-		limit = announcedOrderTimeout
+		// A platform that is slow may still carry out the order. While the server runs, another one
+		// must not be ordered: both would lead, one after the other.
+		late = now.Sub(g.enteredAt) >= announcedOrderTimeout && g.silent(now)
 	}
-	if wiped || now.Sub(g.enteredAt) >= limit {
+	if wiped || late {
 		g.transition(now, "failed")
 		return nil
 	}
--- a/coord/promote/promote_test.go
+++ b/coord/promote/promote_test.go
@@ -273,3 +273,51 @@
 	replica("c", 4520, 200)
 	is.Equal(recordedPrimary(g.Tick(at(5400), true)).Slot, "b")
 }
+
+// TestLatePromotionIsNotReplaced guards against a second server being ordered to lead while the platform may
+// still carry out the order for the first: whichever takes effect last rolls back what the other acknowledged.
+func TestLatePromotionIsNotReplaced(t *testing.T) {
+	is := is.New(t)
+	ordering := func() *promote.Group {
+		g := newGroup()
+		g.Announced = true
+		g.ApplyRecordedPrimary(at(0), promote.Primary{Term: 4, Slot: "b", Incarnations: initialPrimary().Incarnations})
+		return g
+	}
+	replica := func(slot string, ms int) promote.Status {
+		s := newStatus(slot, "1", ms, 100)
+		s.Primary = false
+		return s
+	}
+	g := ordering()
+	for ms := 20; ms < 20_000; ms += 20 {
+		for _, slot := range []string{"b", "c"} {
+			g.UpdateStatus(replica(slot, ms))
+		}
+		for _, a := range g.Tick(at(ms), true) {
+			is.True(a.Record == nil)
+			is.True(a.Promote == nil || a.Promote.Slot == "b")
+		}
+	}
+	is.Equal(g.State(), promote.Ordering)
+	s := newStatus("b", "1", 20_010, 101)
+	s.Primary = true
+	g.UpdateStatus(s)
+	g.Tick(at(20_020), true)
+	is.Equal(g.State(), promote.Steady)
+
+	g = ordering()
+	for ms := 20; ms < 8000; ms += 20 {
+		if ms < 2000 {
+			g.UpdateStatus(replica("b", ms))
+		} else {
+			g.UpdateStatus(promote.Status{Slot: "b", QueriedAt: at(ms)})
+		}
+		g.UpdateStatus(replica("c", ms))
+		if next := recordedPrimary(g.Tick(at(ms), true)); next != nil {
+			is.Equal(next.Slot, "c") // b was lost
+			return
+		}
+	}
+	t.Fatal("a server that was lost after its order is not replaced")
+}
