runner: a write does not begin a read-only transaction

Cause: execute sent the first statement of a read-only transaction by its kind alone: a write to the primary, outside of any transaction. Change: it is answered that the transaction is rolled back, and not run.

TestWriteBeginsNoReadOnlyTransaction fails without the change.

--- a/entry/runner/execute.go
+++ b/entry/runner/execute.go
@@ -83,6 +83,8 @@
 		return r.resumeTransaction(w)
 	case q.GetUnit() != "" && !q.GetReadsOnly():
 		return r.beginTransaction(ctx, w)
+	case q.GetUnit() != "" && q.GetKind() == wire.StatementKind_STATEMENT_KIND_WRITE:
+		return rolledBack("a read-only transaction cannot write")
 	case q.GetKind() == wire.StatementKind_STATEMENT_KIND_WRITE:
 		return w.write(ctx)
 	}
--- a/entry/runner/runner_test.go
+++ b/entry/runner/runner_test.go
@@ -66,6 +66,17 @@
 	return &wire.StatementRequest{Database: "exact", Unit: "u", Id: "1", Text: text, Kind: kind, Begins: begins}
 }
 
+// TestWriteBeginsNoReadOnlyTransaction guards against a write that is the first statement of a read-only
+// transaction and is committed on its own, while its caller is told that nothing is kept.
+func TestWriteBeginsNoReadOnlyTransaction(t *testing.T) {
+	is := is.New(t)
+	o := startOwner(t, func(string, string, session.Position) (runner.Reply, error) { return successReply(60), nil })
+	q := transactionRequest("write", wire.StatementKind_STATEMENT_KIND_WRITE, true)
+	q.ReadsOnly = true
+	is.Equal(o.execute(q).GetDisposition(), rolledBack)
+	is.Equal(len(o.servers.recordedCalls()), 0)
+}
+
 // TestConnectionLossEndsTransaction checks that a lost connection rolls a transaction back, and that
 // only a lost commit after a write has an unknown outcome.
 func TestConnectionLossEndsTransaction(t *testing.T) {
