sessions: each attempt begins a transaction of its own

A transaction's first read is sent again after a silent or broken link, at times to an owner that still works on the first attempt. Both had one name: the owner replaced the first transaction by the second and never returned its connection, and had the first ended last, the caller's next statement would have run on the wrong connection (PINNED).

Change: an attempt whose outcome is not known is rolled back at its owner, and the next one has another name, which the session keeps.

TestEachAttemptBeginsItsOwnTransaction fails without the change: both attempts have one name.

--- a/entry/sessions/owners.go
+++ b/entry/sessions/owners.go
@@ -31,7 +31,8 @@
 	callerRetryDelay = 300 * time.Millisecond
 )
 
-// runOnAnyOwner runs a statement on the first owner that accepts it, and returns that owner.
+// runOnAnyOwner runs a statement on the first owner that accepts it, and returns that owner. Each attempt that
+// may have begun a transaction is followed by one under another name.
 func (s *Sessions) runOnAnyOwner(ctx context.Context, r *wire.StatementRequest) (*wire.StatementAnswer, string) {
 	d, _, _, ok := s.View.Database(r.GetDatabase())
 	if !ok {
@@ -52,6 +53,10 @@
 				return a, vm
 			}
 			lastAnswer = a
+			if r.GetUnit() != "" && a.GetDisposition() == wire.Disposition_DISPOSITION_UNKNOWN {
+				s.rollback(vm, r.GetUnit())
+				r.Unit = s.newID()
+			}
 		}
 		waited := clock.Now().Sub(began)
 		if waited >= timeout/ownerWaitDivisor || s.View.ConfirmationAge() > ControlLossTimeout || s.Isolated() || !waitForRetry(ctx, changed) {
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -183,6 +183,7 @@
 	if s.transaction.owner == "" {
 		r.Begins = true
 		a, s.transaction.owner = s.sessions.runOnAnyOwner(ctx, r)
+		s.transaction.id = r.GetUnit()
 	} else {
 		a = s.sessions.runOnOwner(ctx, s.transaction.owner, r)
 	}
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -186,6 +187,40 @@
 	is.Equal(do(s, statement.Rollback, "").Outcome, statement.Unreadable)
 }
 
+// TestEachAttemptBeginsItsOwnTransaction guards against two attempts at a transaction's first read that an
+// owner takes for one transaction: the later one would hide the earlier, whose connection is then never
+// returned, or the caller's next statement would run on the wrong one.
+func TestEachAttemptBeginsItsOwnTransaction(t *testing.T) {
+	is := is.New(t)
+	var units []string
+	o := &fakeOwner{}
+	o.answer = func(q *wire.StatementRequest) *wire.StatementAnswer {
+		units = append(units, q.GetUnit())
+		if len(units) == 1 {
+			return answer(wire.Disposition_DISPOSITION_UNKNOWN, "")
+		}
+		return answer(wire.Disposition_DISPOSITION_ANSWERED, "T")
+	}
+	s := openSession(t, o, nil)
+	do(s, statement.Begin, "BEGIN")
+	is.Equal(do(s, statement.Read, "READ a").Outcome, statement.Done)
+	is.Equal(do(s, statement.Read, "READ b").Outcome, statement.Done)
+	is.Equal(len(units), 3)
+	is.True(units[0] != units[1])
+	is.Equal(units[1], units[2])
+	for range 500 {
+		o.mu.Lock()
+		ended := slices.Clone(o.rolledBack)
+		o.mu.Unlock()
+		if len(ended) > 0 {
+			is.Equal(ended, []string{units[0]})
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the first attempt is not rolled back")
+}
+
 func TestFailedTransactionAcceptsOnlyEnd(t *testing.T) {
 	is := is.New(t)
 	o := &fakeOwner{answer: func(*wire.StatementRequest) *wire.StatementAnswer {
