runner: a primary that may not be probed is not taken for dead

Cause: an owner that drains may open no more connections, and the transaction holds the only one. The probe counted as a request without an answer while it waited for a connection, so the primary was unusable after 0.9 s and the term was released. The same holds for any owner whose connections are all in idle transactions.

Change: no probe is due while none of the share's connections can be used for it.

TestTransactionOutlivesTheConnectionShare fails without the change.

--- a/entry/runner/fake_test.go
+++ b/entry/runner/fake_test.go
@@ -142,7 +142,10 @@
 }
 
 // renew updates the view with a group state and grant, as a renewal by the control leader does.
-func (o *testOwner) renew(state *wire.GroupState, term uint64) {
+func (o *testOwner) renew(state *wire.GroupState, term uint64) { o.renewShare(state, term, 8) }
+
+// renewShare is renew with a share of the connections.
+func (o *testOwner) renewShare(state *wire.GroupState, term uint64, connections uint32) {
 	o.revision++
 	o.view.ApplyRenewal(o.clock(), &wire.RenewResponse{
 		Accepted: true, ControlTerm: 1, LeaseMilliseconds: 60_000,
@@ -157,7 +160,7 @@
 			{Kind: "database", Name: "own", Body: []byte(databaseBody("session"))},
 		},
 		DirectoryEpoch: 1, DirectoryRevision: o.revision, Groups: []*wire.GroupState{state},
-		Grants: []*wire.Grant{{Group: "g", Term: term, Connections: 8}},
+		Grants: []*wire.Grant{{Group: "g", Term: term, Connections: connections}},
 	})
 }
 
--- a/entry/runner/pool.go
+++ b/entry/runner/pool.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// ready reports whether get need not wait for a connection.
+func (p *pool) ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && (len(p.idle) > 0 || p.open < p.limit)
+}
+
 // takeClosest removes and returns the idle connection closest to values, or nil; mu is held.
 func (p *pool) takeClosest(values map[string]string) *serverConn {
 	best, distance := -1, 0
--- a/entry/runner/probe.go
+++ b/entry/runner/probe.go
@@ -47,12 +47,13 @@
 	g.primaryInFlight--
 }
 
-// probe sends the primary a ping when no recent statement has shown whether it answers.
+// probe sends the primary a ping when no recent statement has shown whether it answers. While every
+// connection of the share is in use, only statements can show it.
 func (g *group) probe() {
 	g.mu.Lock()
 	p := g.pools[g.primary]
 	observed := leadership{g.term, g.primary}
-	due := !g.probing && p != nil && g.hadLease && g.health.ProbeDue(clock.Now())
+	due := !g.probing && p != nil && p.ready() && g.hadLease && g.health.ProbeDue(clock.Now())
 	g.probing = g.probing || due
 	g.mu.Unlock()
 	if due {
--- a/entry/runner/runner_test.go
+++ b/entry/runner/runner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"trefoilcourse/coord/health"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/entry/runner"
 	"trefoilcourse/wire"
@@ -126,6 +127,18 @@
 	is.True(conns["write"][0] == conns["begin"][0] && conns["write"][1] != conns["begin"][0])
 }
 
+// TestTransactionOutlivesTheConnectionShare guards against an owner that may open no connection any more, as one
+// that drains, and takes the primary for dead because it cannot probe it: its open transaction goes on.
+func TestTransactionOutlivesTheConnectionShare(t *testing.T) {
+	is := is.New(t)
+	o := startOwner(t, func(string, string, session.Position) (runner.Reply, error) { return successReply(60), nil })
+	is.Equal(o.execute(transactionRequest("read", wire.StatementKind_STATEMENT_KIND_READ, true)).GetDisposition(), answered)
+	o.renewShare(groupState(1, "p", "p", "r"), 1, 0)
+	time.Sleep(2 * health.ResponseTimeout)
+	is.Equal(o.holdings()[0].GetTerm(), uint64(1))
+	is.Equal(o.execute(transactionRequest("commit", wire.StatementKind_STATEMENT_KIND_COMMIT, false)).GetDisposition(), answered)
+}
+
 func TestReplicaReadCarriesItsFloor(t *testing.T) {
 	is := is.New(t)
 	o := startOwner(t, func(string, string, session.Position) (runner.Reply, error) { return successReply(60), nil })
