--- a/coord/promote/group.go
+++ b/coord/promote/group.go
@@ -53,7 +53,8 @@
 	clearedHoldoff   = 2 * time.Second
 	maxClearedChecks = 3
 	// confirmTimeout is how long a recorded primary that is not known to lead may leave the leader's
-	// queries unanswered before it counts as silent. It covers several of them, and a leader's start under the renewals of all VMs.
+	// queries unanswered before it counts as silent. It covers several of them, and a leader's start
+	// under the renewals of all VMs.
 	confirmTimeout = 1500 * time.Millisecond
 	// closingTimeout is how long requests in flight may delay the replacement of a leaving primary.
 	closingTimeout = 30 * time.Second
