--- a/entry/internal/metrics/metrics.go
+++ b/entry/internal/metrics/metrics.go
@@ -37,6 +37,11 @@
 	UsageWaits    expvar.Int
 	UsageRenewals expvar.Int
 
+	// UnreadableMessages counts callers' messages that were no statements.
+	UnreadableMessages expvar.Int
+	// DoubtfulAnswers counts servers' answers that may belong to an earlier statement, by reason.
+	DoubtfulAnswers expvar.Map
+
 	// KeyRefusals counts sessions and statements refused because of a caller's key, by reason.
 	KeyRefusals expvar.Map
 	// PoolEvictions counts idle connections that were closed to open one for another workspace.
@@ -79,6 +84,7 @@
 		"floors-known": &m.FloorsKnown, "floors-by-token": &m.FloorsByToken,
 		"floors-conservative": &m.FloorsConservative, "link-streams": &m.LinkStreams,
 		"announcements-accepted": &m.AnnounceAccepted, "announcements-refused": &m.AnnounceRefused,
+		"unreadable-messages": &m.UnreadableMessages, "doubtful-answers": &m.DoubtfulAnswers,
 		"key-refusals": &m.KeyRefusals, "pool-evictions": &m.PoolEvictions,
 		"usage-waits": &m.UsageWaits, "usage-renewals": &m.UsageRenewals, "usage-refused": &m.usageRefused,
 		"queue-refusals": &m.QueueRefusals, "learned-limit-changes": &m.LimitChanges, "learned-limited-servers": &m.LimitedServers,
--- a/entry/runner/placement.go
+++ b/entry/runner/placement.go
@@ -8,6 +8,7 @@
 
 	"trefoilcourse/coord/capacity"
 	"trefoilcourse/coord/clock"
+	"trefoilcourse/coord/correlate"
 	"trefoilcourse/coord/dispatch"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/coord/setup"
@@ -148,6 +149,7 @@
 		ID: q.GetId(), Text: q.GetText(), Definition: q.GetDefinition(), Floor: floor, Holding: w.holding,
 	})
 	p.recordReply(reply, err)
+	p.logDoubt(q.GetId(), reply)
 	w.runMicros.Add(clock.Now().Sub(p.sentAt).Microseconds())
 	if err != nil {
 		return reply, err
@@ -176,6 +178,21 @@
 	p.group.recordReplicaPosition(p.slot, p.sentAt, reply, p.onPrimary)
 }
 
+// logDoubt counts and logs an answer that may belong to an earlier statement.
+func (p *placement) logDoubt(request string, reply Reply) {
+	if reply.Doubt == correlate.NoDoubt {
+		return
+	}
+	r := p.group.runner
+	r.Metrics.DoubtfulAnswers.Add(string(reply.Doubt), 1)
+	if suppressed, ok := r.doubtLogs.Allow(clock.Now()); ok {
+		r.Log.WithFields(map[string]any{
+			"request": request, "group": p.group.name, "server": p.slot, "doubt": reply.Doubt,
+			"connection-age-ms": clock.Now().Sub(p.conn.openedAt).Milliseconds(), "not-logged-before": suppressed,
+		}).Info("answer of a server may belong to an earlier statement")
+	}
+}
+
 // recordNotPrimary records that the primary replied that it does not lead.
 func (p *placement) recordNotPrimary() {
 	p.group.mu.Lock()
--- a/entry/runner/pool.go
+++ b/entry/runner/pool.go
@@ -28,6 +28,7 @@
 	// workspace is the only one whose statements run on the connection.
 	workspace string
 	state     setup.Connection
+	openedAt  time.Time
 	lastUsed  time.Time
 	// unused connections have not been returned to the pool since they were opened.
 	unused bool
@@ -252,7 +253,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &serverConn{Conn: conn, slot: p.target.Slot, workspace: workspace, unused: true}, nil
+	return &serverConn{Conn: conn, slot: p.target.Slot, workspace: workspace, openedAt: clock.Now(), unused: true}, nil
 }
 
 // broadcast wakes all goroutines that wait for a connection; mu is held.
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -12,6 +12,7 @@
 	"trefoilcourse/entry/internal/metrics"
 	"trefoilcourse/entry/internal/view"
 	"trefoilcourse/wire"
+	"trefoilcourse/wire/lines"
 )
 
 // maintenanceInterval is how often leases and transactions are checked; it is much shorter than a
@@ -46,6 +47,8 @@
 	// suspension detects that this VM was suspended.
 	suspension health.SuspendDetector
 	usage      usage
+	// doubtLogs limits the lines about answers that may belong to an earlier statement.
+	doubtLogs lines.Limiter
 }
 
 // Run adds and removes groups as leases start and end, until ctx is done.
--- a/entry/runner/server.go
+++ b/entry/runner/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilcourse/coord/budget"
+	"trefoilcourse/coord/correlate"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/coord/setup"
 )
@@ -41,6 +42,8 @@
 	State byte
 	// Position is the position of the server's log.
 	Position session.Position
+	// Doubt is why the answer may belong to an earlier statement on the connection; empty if it cannot.
+	Doubt correlate.Doubt
 }
 
 // Target identifies the server to connect to.
--- a/entry/sessions/keys.go
+++ b/entry/sessions/keys.go
@@ -94,7 +94,7 @@
 
 func (s *Session) recordKeyRefusal(r workspace.Refusal, message string) {
 	s.sessions.Metrics.KeyRefusals.Add(string(r), 1)
-	suppressed, ok := s.sessions.keyLogs.allow(clock.Now())
+	suppressed, ok := s.sessions.keyLogs.Allow(clock.Now())
 	if !ok {
 		return
 	}
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -26,6 +26,8 @@
 	state      statement.State
 	// transaction is the open one; its owner is empty until its first statement.
 	transaction transaction
+	// lastRequest is the id of the last statement.
+	lastRequest string
 }
 
 type transaction struct {
@@ -50,6 +52,7 @@
 	if a.Outcome == statement.Done {
 		a = s.execute(ctx, q)
 	}
+	s.lastRequest = q.ID
 	a.State = s.State()
 	s.sessions.Metrics.Latency(a.Outcome.String()).Record(clock.Now().Sub(began))
 	return a
@@ -59,7 +62,7 @@
 	ends := q.Kind == statement.Commit || q.Kind == statement.Rollback
 	switch {
 	case q.Kind == statement.Malformed:
-		return refuse(statement.Unreadable, "the statement cannot be read")
+		return s.RefuseMessage(len(q.Text), "the statement cannot be read")
 	case s.State() == statement.Failed && !ends:
 		return refuse(statement.Unreadable, "the transaction has failed; end it first")
 	case s.State() == statement.Failed:
@@ -83,6 +86,21 @@
 	return statement.Answer{Outcome: statement.Done}
 }
 
+// RefuseMessage answers a message that is no statement, counts it and logs which statement came before it. The
+// message itself is not logged, since it may hold a caller's data.
+func (s *Session) RefuseMessage(bytes int, reason string) statement.Answer {
+	s.sessions.Metrics.UnreadableMessages.Add(1)
+	if suppressed, ok := s.sessions.unreadableLogs.Allow(clock.Now()); ok {
+		s.sessions.Log.WithFields(map[string]any{
+			"session": s.id, "database": s.database, "previous-request": s.lastRequest, "message-bytes": bytes,
+			"state": string(rune(s.State())), "not-logged-before": suppressed,
+		}).Info("message of a caller cannot be read")
+	}
+	a := refuse(statement.Unreadable, reason)
+	a.State = s.State()
+	return a
+}
+
 func refuse(o statement.Outcome, message string) statement.Answer {
 	return statement.Answer{Outcome: o, Message: message}
 }
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -16,6 +16,7 @@
 	"trefoilcourse/entry/internal/view"
 	"trefoilcourse/entry/statement"
 	"trefoilcourse/wire"
+	"trefoilcourse/wire/lines"
 	"trefoilcourse/wire/protorpc"
 )
 
@@ -45,11 +46,10 @@
 	// KeyLifetime is how long a removed key may be accepted; 0 means view.ConfirmWithin.
 	KeyLifetime time.Duration
 
-	lateLogs logLimiter
-	keyLogs  logLimiter
-	nextID   atomic.Uint64
-	mu       sync.Mutex
-	links    map[string]*link
+	lateLogs, keyLogs, unreadableLogs lines.Limiter
+	nextID                            atomic.Uint64
+	mu                                sync.Mutex
+	links                             map[string]*link
 }
 
 // Open starts a session with a database for a caller that presents a key. Without a session, the answer
