--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -228,7 +228,6 @@
 // endDrain ends a draining database once drain_ms and a second have passed since its ack and it leads no
 // longer.
 func (d *deployment) endDrain(s *database) {
-	const drainTime = 7 * time.Second
 	for ended := false; !ended; time.Sleep(50 * time.Millisecond) {
 		d.group.mu.Lock()
 		ended = !s.drainAcked.IsZero() && time.Since(s.drainAcked) > drainTime+time.Second && !s.primary
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -10,9 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +21,10 @@
 	// metricsPort is fixed in the template of the entry role.
 	metricsPort = 9464
 	graceTime   = 6 * time.Second
+	// drainTime is how long a database serves after the ack of its draining.
+	drainTime = 7 * time.Second
+	// regionName is the region of all zones.
+	regionName = "region-a"
 )
 
 // machine is a simulated machine: an address of the loopback network with the roles that run there.
@@ -158,7 +159,11 @@
 		return err
 	}
 	p.config = filepath.Join(f.folder, p.machine.name+"-"+p.role+".conf")
-	if err := os.WriteFile(p.config, []byte(render(string(text), f.settings(p, bootstrap))), 0o600); err != nil {
+	settings, err := render(string(text), f.settings(p, bootstrap))
+	if err != nil {
+		return fmt.Errorf("the template of role %s: %w", p.role, err)
+	}
+	if err := os.WriteFile(p.config, []byte(settings), 0o600); err != nil {
 		return err
 	}
 	out, err := os.OpenFile(filepath.Join(f.folder, p.machine.name+"-"+p.role+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
@@ -204,6 +209,8 @@
 	return nil
 }
 
+// settings returns the fields that the platform's page lists for a process, except those that this deployment has no
+// value for.
 func (f *fleet) settings(p *process, bootstrap bool) map[string]any {
 	m := p.machine
 	dataFolder := ""
@@ -211,21 +218,30 @@
 		dataFolder = filepath.Join(f.folder, "data-"+m.name)
 	}
 	var seeds []any
+	zones := map[string]any{}
 	for _, s := range f.machines {
+		zones[s.zone] = regionName
 		if s.disk {
 			seeds = append(seeds, f.address(s, "control"))
 		}
 	}
-	share := 0.272
+	serves := "front"
+	if p.role == "control" {
+		serves = "control"
+	}
+	share, disk := 0.272, 0
 	if m.disk {
-		share = 0.72
+		share, disk = 0.72, 64
 	}
 	return map[string]any{
-		"node": m.name, "zone": m.zone, "ip": m.ip, "data_dir": dataFolder, "bootstrap": bootstrap, "seeds": seeds,
-		"cluster_ports": []any{f.ports["agreement"], f.ports["links"]},
+		"node": m.name, "role": p.role, "class": "front", "serves": []any{serves}, "ip": m.ip, "zone": m.zone, "region": regionName, "zones": zones,
 		"listen":        map[string]any{"front": f.address(m, "front"), "ready": f.address(m, "ready"), "control": f.address(m, "control")},
-		"tolerate":      map[string]any{"machines": 1}, "limits": map[string]any{"link_mbps": 700.0, "cpu_share": share, "cores": 1},
-		"bounds": map[string]any{"grace_s": int(graceTime / time.Second)}, "cloud": map[string]any{"addr": f.promoteAddress()},
+		"cluster_ports": []any{f.ports["agreement"], f.ports["links"]}, "seeds": seeds, "bootstrap": bootstrap, "counts_as_loss": m.disk,
+		"limits":   map[string]any{"cpu_share": share, "cores": 1, "memory_mb": 284, "max_fds": 4200, "link_mbps": 700.0, "disk_mb": disk},
+		"data_dir": dataFolder, "discovery": "registry", "entry": "vip", "heartbeat_ms": heartbeatInterval.Milliseconds(),
+		"tolerate": map[string]any{"machines": 1, "zones": 0, "regions": 0},
+		"bounds":   map[string]any{"grace_s": int(graceTime / time.Second), "drain_ms": drainTime.Milliseconds(), "recovery_s": int(recoveryTime / time.Second), "require_fence": false},
+		"cloud":    map[string]any{"addr": f.promoteAddress(), "rate_per_s": 50.0, "duties": []any{"failover"}, "duty_per_s": 50.0},
 	}
 }
 
@@ -303,57 +319,3 @@
 	}
 	return errors.New("not every entry process is ready")
 }
-
-var (
-	sectionPattern = regexp.MustCompile(`(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`)
-	fieldPattern   = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
-)
-
-// render fills in a template with the parts of the platform's language that the project uses.
-func render(text string, values map[string]any) string {
-	text = sectionPattern.ReplaceAllStringFunc(text, func(section string) string {
-		parts := sectionPattern.FindStringSubmatch(section)
-		value := lookup(values, parts[1])
-		if value == nil {
-			return ""
-		}
-		return strings.ReplaceAll(parts[2], "{{.}}", format(value, false))
-	})
-	return fieldPattern.ReplaceAllStringFunc(text, func(field string) string {
-		parts := fieldPattern.FindStringSubmatch(field)
-		return format(lookup(values, parts[1]), parts[2] != "")
-	})
-}
-
-func lookup(values map[string]any, path string) any {
-	var value any = values
-	for _, name := range strings.Split(path, ".") {
-		switch v := value.(type) {
-		case map[string]any:
-			value = v[name]
-		case []any:
-			i, err := strconv.Atoi(name)
-			if err != nil || i >= len(v) {
-				return nil
-			}
-			value = v[i]
-		default:
-			return nil
-		}
-	}
-	return value
-}
-
-func format(value any, asJSON bool) string {
-	if value == nil {
-		return ""
-	}
-	if text, ok := value.(string); ok && !asJSON {
-		return text
-	}
-	data, err := json.Marshal(value)
-	if err != nil {
-		return ""
-	}
-	return string(data)
-}
