--- a/review/standins/connection.go
+++ b/review/standins/connection.go
@@ -2,61 +2,117 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"strings"
+	"sync"
+	"time"
 )
 
 // connection is the state of one connection to a database.
 type connection struct {
 	d        *database
 	number   uint64
-	out      *bufio.Writer
+	conn     net.Conn
+	out      bytes.Buffer
 	state    byte
 	readOnly bool
 	wrote    commit
 	prepared map[string]string
+	// choice selects the answers that are repeated.
+	choice *rand.Rand
+	// writing is held while a whole answer is written.
+	writing sync.Mutex
 }
 
+const (
+	// stutterSeed is the seed of the choice of repeated answers; each connection has a sequence of its own.
+	stutterSeed = 39
+	// stutterShare is the share of answers that a stuttering database repeats, minRepeatDelay and maxRepeatDelay how
+	// long after the answer.
+	stutterShare   = 0.1
+	minRepeatDelay = 5 * time.Millisecond
+	maxRepeatDelay = 120 * time.Millisecond
+)
+
 func (d *database) serve(c net.Conn, refused bool, number uint64) {
 	reader := bufio.NewReader(c)
-	k := &connection{d: d, number: number, out: bufio.NewWriter(c), state: 'I', prepared: map[string]string{}}
-	line, err := reader.ReadString('\n')
-	fields := strings.Fields(line)
+	k := &connection{d: d, number: number, conn: c, state: 'I', prepared: map[string]string{}, choice: rand.New(rand.NewPCG(stutterSeed, number))}
+	message, err := readMessage(reader)
+	fields := strings.SplitN(message, " ", 4)
 	if err != nil || len(fields) < 3 || fields[0] != "CONNECT" {
 		return
 	}
+	misrouted := fields[1] != d.group.name || len(fields) > 3 && fields[3] != d.id
 	switch {
-	case fields[1] != d.group.name || len(fields) > 3 && fields[3] != d.id:
+	case misrouted:
 		k.error("MISROUTED", d.id)
 	case refused:
 		k.error("CONNLIMIT", d.id)
 	default:
 		k.ready()
 	}
-	if k.out.Flush() != nil || fields[1] != d.group.name || refused {
+	if k.send() != nil || misrouted || refused {
 		return
 	}
 	for {
-		line, err := reader.ReadString('\n')
+		message, err := readMessage(reader)
 		if err != nil {
 			return
 		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		word, rest, _ := strings.Cut(message, " ")
 		if word != "QUERY" {
 			return
 		}
 		id, text, _ := strings.Cut(rest, " ")
 		k.query(id, text)
-		if d.dead() || k.out.Flush() != nil {
+		if d.dead() {
+			return
+		}
+		answer := bytes.Clone(k.out.Bytes())
+		if k.send() != nil {
 			return
 		}
+		k.repeatLater(id, text, answer)
 	}
 }
 
+// send writes the buffered answer.
+func (k *connection) send() error {
+	defer k.out.Reset()
+	return k.write(k.out.Bytes())
+}
+
+func (k *connection) write(answer []byte) error {
+	k.writing.Lock()
+	defer k.writing.Unlock()
+	_, err := k.conn.Write(answer)
+	return err
+}
+
+// repeatLater has an answer that was sent written once more, late and unchanged, if the database stutters and the answer
+// is among the chosen ones.
+func (k *connection) repeatLater(id, text string, answer []byte) {
+	if !k.d.group.stutters.Load() {
+		return
+	}
+	chosen := k.choice.Float64() < stutterShare
+	delay := minRepeatDelay + time.Duration(k.choice.Int64N(int64(maxRepeatDelay-minRepeatDelay)))
+	if !chosen {
+		return
+	}
+	time.AfterFunc(delay, func() {
+		if k.write(answer) == nil {
+			k.d.group.repeated.Add(1)
+			k.d.group.rec.add("%s repeats the answer to %s %s after %v (connection %d)", k.d.id, id, shortened(text), delay, k.number)
+		}
+	})
+}
+
 func (k *connection) error(code, message string) {
-	fmt.Fprintf(k.out, "ERROR %s %s\r\n", code, message)
+	fmt.Fprintf(&k.out, "ERROR %s %s\r\n", code, message)
 }
 
 // ready ends an answer with the position that the log has reached.
@@ -64,7 +120,7 @@
 	k.d.group.mu.Lock()
 	position := k.d.position()
 	k.d.group.mu.Unlock()
-	fmt.Fprintf(k.out, "READY %c %s\r\n", k.state, position)
+	fmt.Fprintf(&k.out, "READY %c %s\r\n", k.state, position)
 }
 
 // query runs one request; the answer is buffered.
@@ -117,7 +173,7 @@
 	}
 }
 
-func (k *connection) complete(mac string) { fmt.Fprintf(k.out, "COMPLETE %s\r\n", mac) }
+func (k *connection) complete(mac string) { fmt.Fprintf(&k.out, "COMPLETE %s\r\n", mac) }
 
 // reached reports whether the applied log has a position.
 func (d *database) reached(position string) bool {
@@ -150,7 +206,7 @@
 	if d.primary {
 		role = "primary"
 	}
-	fmt.Fprintf(k.out, "ROW %s %d %s 0 0 %d %d\r\n", role, d.term, positionAt(d.log, len(d.log)), d.busy-1, len(d.conns))
+	fmt.Fprintf(&k.out, "ROW %s %d %s 0 0 %d %d\r\n", role, d.term, positionAt(d.log, len(d.log)), d.busy-1, len(d.conns))
 	k.complete("-")
 }
 
@@ -193,10 +249,12 @@
 		return
 	}
 	g.rec.add("%s runs %s %s (connection %d)", d.id, id, shortened(text), k.number)
+	var rows []string
 	switch access {
 	case "READ":
 		item, _, _ := strings.Cut(arguments, " ")
-		fmt.Fprintf(k.out, "ROW %s=%s\r\n", item, d.values[item])
+		rows = append(rows, item+"="+d.values[item])
+		fmt.Fprintf(&k.out, "ROW %s\r\n", rows[0])
 	case "WRITE":
 		item, data, _ := strings.Cut(arguments, " ")
 		k.wrote.ids = append(k.wrote.ids, id)
@@ -214,7 +272,7 @@
 	}
 	g.macs++
 	mac := fmt.Sprintf("7.%x.%x", g.macs, rand.Uint64())
-	g.executions[mac] = execution{id: id, text: text, database: d.id, connection: k.number}
+	g.executions[mac] = execution{id: id, text: text, rows: rows, database: d.id, connection: k.number}
 	k.complete(mac)
 }
 
--- a/review/standins/consumer.go
+++ b/review/standins/consumer.go
@@ -30,7 +30,7 @@
 	if a.code != "" {
 		return "ERROR " + a.code + " " + a.message + " state " + a.state
 	}
-	return fmt.Sprintf("COMPLETE %s rows %v state %s position %s", a.mac, a.rows, a.state, a.position)
+	return fmt.Sprintf("COMPLETE %s rows %q state %s position %s", a.mac, a.rows, a.state, a.position)
 }
 
 // newRequestID returns a new id of a request.
@@ -48,9 +48,9 @@
 		s.close()
 		return nil, err
 	}
-	line, err := s.line()
-	if err == nil && !strings.HasPrefix(line, "READY") {
-		err = fmt.Errorf("%s", line)
+	message, err := readMessage(s.reader)
+	if err == nil && !strings.HasPrefix(message, "READY") {
+		err = fmt.Errorf("%s", message)
 	}
 	if err != nil {
 		s.close()
@@ -61,11 +61,6 @@
 
 func (s *session) close() { _ = s.conn.Close() }
 
-func (s *session) line() (string, error) {
-	line, err := s.reader.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
-}
-
 // query sends a request and waits for its answer.
 func (s *session) query(id, text string, limit time.Duration) (answer, error) {
 	_ = s.conn.SetDeadline(time.Now().Add(limit))
@@ -79,11 +74,11 @@
 func (s *session) answer() (answer, error) {
 	var a answer
 	for {
-		line, err := s.line()
+		message, err := readMessage(s.reader)
 		if err != nil {
 			return a, err
 		}
-		word, rest, _ := strings.Cut(line, " ")
+		word, rest, _ := strings.Cut(message, " ")
 		switch word {
 		case "ROW":
 			a.rows = append(a.rows, rest)
@@ -95,7 +90,7 @@
 			a.state, a.position, _ = strings.Cut(rest, " ")
 			return a, nil
 		default:
-			return a, fmt.Errorf("unexpected line %q", line)
+			return a, fmt.Errorf("unexpected message %q", message)
 		}
 	}
 }
--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,11 +42,15 @@
 	// committed by a primary of an older term.
 	highestTerm uint64
 	stale       map[string]string
+	// stutters is set while the databases repeat some of their answers; repeated counts those.
+	stutters atomic.Bool
+	repeated atomic.Int64
 }
 
 // execution is one statement that ran.
 type execution struct {
 	id, text, database string
+	rows               []string
 	connection         uint64
 }
 
