--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -89,6 +89,8 @@
 	served, failed int
 	stop           atomic.Bool
 	consumers      sync.WaitGroup
+	// ledger keeps what was sent and answered.
+	ledger *ledger
 }
 
 // consume runs a consumer that repeats one statement in sessions of its own until the tally stops.
@@ -106,9 +108,8 @@
 				}
 				s = opened
 			}
-			id := newRequestID()
 			sent := text(n)
-			a, err := s.query(id, sent, 3*time.Second)
+			id, a, err := (&attempt{ledger: t.ledger}).query(s, sent)
 			if err != nil {
 				d.rec.add("%s gets no answer to %s %s: %v", m.name, id, shortened(sent), err)
 			} else {
@@ -139,7 +140,7 @@
 	}
 }
 
-func newTally() *tally { return &tally{acknowledged: map[string]bool{}} }
+func newTally() *tally { return &tally{acknowledged: map[string]bool{}, ledger: newLedger()} }
 
 func (t *tally) counts() (served, failed int) {
 	t.mu.Lock()
@@ -155,3 +156,37 @@
 		d.consume(t, m, "progress-host", func(n int) string { return fmt.Sprintf("READ %d", n%600) }, false, 100*time.Millisecond)
 	}
 }
+
+// executeWrites runs a consumer that prepares a write and executes it repeatedly, in sessions of its own, until the tally
+// stops.
+func (d *deployment) executeWrites(t *tally, m *machine, name string, arguments func(n int) string) {
+	t.consumers.Go(func() {
+		var s *session
+		for n := 0; !t.stop.Load(); n++ {
+			time.Sleep(200 * time.Millisecond)
+			texts := []string{"EXECUTE " + name + " " + arguments(n)}
+			if s == nil {
+				opened, err := openSession(d.address(m, "front"), "entry-host")
+				if err != nil {
+					d.rec.add("%s gives no session: %v", m.name, err)
+					continue
+				}
+				s = opened
+				texts = append([]string{"PREPARE " + name + " WRITE q2c"}, texts...)
+			}
+			for _, text := range texts {
+				id, a, err := (&attempt{ledger: t.ledger}).query(s, text)
+				d.rec.add("%s answers %s %s: %s %v", m.name, id, shortened(text), a, err)
+				t.note(id, err == nil && a.succeeded(), true)
+				if err != nil || !a.succeeded() || a.state != "I" {
+					s.close()
+					s = nil
+					break
+				}
+			}
+		}
+		if s != nil {
+			s.close()
+		}
+	})
+}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -35,6 +35,7 @@
 	"lost":     lostPrimary,
 	"smuggled": smuggledRequest,
 	"unread":   unreadableHeartbeat,
+	"stutter":  stutteringDatabases,
 }
 
 func main() {
