--- a/review/standins/ledger.go
+++ b/review/standins/ledger.go
@@ -88,6 +88,29 @@
 	return count
 }
 
+// unasked counts the statements that a database ran under an id or with a text that no consumer sent, and notes each. The
+// system may rename a prepared statement.
+func (l *ledger) unasked(g *group) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	for _, e := range g.executions {
+		text, sent := l.sent[e.id]
+		switch {
+		case !sent:
+			g.rec.add("UNASKED: %s ran %s %s, which no consumer sent", e.database, e.id, shortened(e.text))
+		case withoutName(e.text) != withoutName(text):
+			g.rec.add("UNASKED: %s ran %s %s, of which the consumer sent %s", e.database, e.id, shortened(e.text), shortened(text))
+		default:
+			continue
+		}
+		count++
+	}
+	return count
+}
+
 // refusedAndTwice counts the committed writes of attempts that were answered with a promise, and the writes that were
 // committed more than once; each is noted.
 func (l *ledger) refusedAndTwice(g *group, log []commit) (refused, twice int) {
@@ -109,3 +132,12 @@
 	}
 	return refused, twice
 }
+
+// withoutName leaves the name of the prepared statement out of the text of an EXECUTE.
+func withoutName(text string) string {
+	if named, ok := strings.CutPrefix(text, "EXECUTE "); ok {
+		_, arguments, _ := strings.Cut(named, " ")
+		return "EXECUTE " + arguments
+	}
+	return text
+}
