--- a/review/standins/connection.go
+++ b/review/standins/connection.go
@@ -21,7 +21,7 @@
 	readOnly bool
 	wrote    commit
 	prepared map[string]string
-	// choice selects the answers that are repeated.
+	// choice selects the answers that are repeated and the statements that are refused.
 	choice *rand.Rand
 	// writing is held while a whole answer is written.
 	writing sync.Mutex
@@ -35,6 +35,8 @@
 	stutterShare   = 0.1
 	minRepeatDelay = 5 * time.Millisecond
 	maxRepeatDelay = 120 * time.Millisecond
+	// refusedShare is the share of reads, writes and commits that a refusing database answers with BUSY.
+	refusedShare = 0.05
 )
 
 func (d *database) serve(c net.Conn, refused bool, number uint64) {
@@ -236,6 +238,10 @@
 		return
 	}
 	defer k.d.leave()
+	if k.d.group.refuses.Load() && k.choice.Float64() < refusedShare {
+		k.error("BUSY", k.d.id)
+		return
+	}
 	k.d.doWork()
 	d, g := k.d, k.d.group
 	g.mu.Lock()
--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -45,6 +45,8 @@
 	// stutters is set while the databases repeat some of their answers; repeated counts those.
 	stutters atomic.Bool
 	repeated atomic.Int64
+	// refuses is set while the databases answer some statements with BUSY.
+	refuses atomic.Bool
 }
 
 // execution is one statement that ran.
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -36,6 +36,7 @@
 	"smuggled": smuggledRequest,
 	"unread":   unreadableHeartbeat,
 	"stutter":  stutteringDatabases,
+	"refusals": stutteringRefusals,
 	"linefeed": lineFeedInData,
 }
 
--- a/review/standins/stutter.go
+++ b/review/standins/stutter.go
@@ -9,6 +9,16 @@
 // stutteringDatabases: all databases send some of their answers a second time, late, on the same connection, while
 // consumers read and write through every entry process.
 func stutteringDatabases(rec *record, root string, trouble bool) (bool, error) {
+	return stutter(rec, root, trouble, false)
+}
+
+// stutteringRefusals: as stutteringDatabases, with databases that answer some statements with BUSY, with or without
+// trouble. An answer without a MAC is repeated as well.
+func stutteringRefusals(rec *record, root string, trouble bool) (bool, error) {
+	return stutter(rec, root, trouble, true)
+}
+
+func stutter(rec *record, root string, trouble, refuses bool) (bool, error) {
 	d, err := deploy(rec, root, 1, 0, 8*time.Millisecond)
 	if err != nil {
 		return false, err
@@ -17,6 +27,7 @@
 		return false, err
 	}
 	t := newTally()
+	d.group.refuses.Store(refuses)
 	if trouble {
 		rec.say("disturbance: all databases repeat a tenth of their answers, %v to %v late", minRepeatDelay, maxRepeatDelay)
 		d.group.stutters.Store(true)
