--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -35,6 +35,9 @@
 	"lost":     lostPrimary,
 	"smuggled": smuggledRequest,
 	"unread":   unreadableHeartbeat,
+	"stutter":  stutteringDatabases,
+	"refusals": stutteringRefusals,
+	"linefeed": lineFeedInData,
 }
 
 func main() {
