--- a/wire/protorpc/client.go
+++ b/wire/protorpc/client.go
@@ -69,9 +69,12 @@
 func (c *Client) wait(ctx context.Context, client *rpc.Client, call *rpc.Call) error {
 	select {
 	case <-call.Done:
-		if isConnectionError(call.Error) {
+		switch {
+		case errors.Is(call.Error, ErrNotEncoded):
+			// Nothing was sent, and other calls may run on the connection.
+		case isConnectionError(call.Error):
 			c.drop(client)
-		} else {
+		default:
 			c.answered(client)
 		}
 		return call.Error
--- a/wire/protorpc/codec.go
+++ b/wire/protorpc/codec.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/rpc"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"trefoilcourse/wire"
@@ -15,6 +17,9 @@
 
 const maxMessageBytes = 64 << 20
 
+// ErrNotEncoded means that a call was not sent because its request cannot be encoded.
+var ErrNotEncoded = errors.New("the message cannot be encoded")
+
 // Traffic counts the bytes that codecs have read and written.
 type Traffic struct {
 	read    atomic.Uint64
@@ -86,16 +91,28 @@
 	return c.readMessage(message)
 }
 
+// write sends a header and its body, or nothing if one of them cannot be encoded: a header alone would take the next message
+// for its body.
 func (c *codec) write(header *wire.RpcHeader, body any) error {
 	message, ok := body.(proto.Message)
 	if !ok {
 		message = &wire.Empty{}
 	}
-	if _, err := protodelim.MarshalTo(c.writer, header); err != nil {
-		return err
+	encodedHeader, err := proto.Marshal(header)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotEncoded, err)
 	}
-	if _, err := protodelim.MarshalTo(c.writer, message); err != nil {
-		return err
+	encodedBody, err := proto.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotEncoded, err)
+	}
+	for _, encoded := range [][]byte{encodedHeader, encodedBody} {
+		if _, err := c.writer.Write(protowire.AppendVarint(nil, uint64(len(encoded)))); err != nil {
+			return err
+		}
+		if _, err := c.writer.Write(encoded); err != nil {
+			return err
+		}
 	}
 	return c.writer.Flush()
 }
--- a/wire/protorpc/protorpc_test.go
+++ b/wire/protorpc/protorpc_test.go
@@ -18,6 +18,9 @@
 	"trefoilcourse/wire/protorpc"
 )
 
+// notText cannot be encoded as a string.
+const notText = "\xff"
+
 type echo struct{ release chan struct{} }
 
 // Echo answers with the same VM name.
@@ -25,9 +28,16 @@
 	if in.GetVm() == "bad" {
 		return errors.New("the name is bad")
 	}
+	if in.GetVm() == "bad text" {
+		return errors.New(notText)
+	}
 	if in.GetVm() == "slow" {
 		<-e.release
 	}
+	if in.GetVm() == "not text" {
+		out.Vm = notText
+		return nil
+	}
 	out.Vm = in.GetVm()
 	return nil
 }
--- a/wire/protorpc/servercodec.go
+++ b/wire/protorpc/servercodec.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/rpc"
+	"strings"
 	"sync"
 	"time"
 
@@ -206,7 +207,7 @@
 	if c.limits.Answered != nil {
 		defer c.limits.Answered(body)
 	}
-	header := &wire.RpcHeader{Method: r.ServiceMethod, Sequence: answered.sequence, Error: r.Error}
+	header := &wire.RpcHeader{Method: r.ServiceMethod, Sequence: answered.sequence, Error: strings.ToValidUTF8(r.Error, "\uFFFD")}
 	held := answered.held
 	defer func() { c.give(held) }()
 	if message, ok := body.(proto.Message); ok {
@@ -223,6 +224,10 @@
 		_ = d.SetWriteDeadline(time.Now().Add(messageTimeout))
 	}
 	err := c.write(header, body)
+	if errors.Is(err, ErrNotEncoded) {
+		header.Error = "the call may have run: " + err.Error()
+		err = c.write(header, nil)
+	}
 	c.work()
 	if err != nil {
 		// net/rpc goes on reading otherwise.
