--- a/coord/statement/classify.go
+++ b/coord/statement/classify.go
@@ -165,8 +165,12 @@
 		text = strings.TrimLeft(text, " \t\r\n(")
 		switch {
 		case strings.HasPrefix(text, "--"):
-			_, after, _ := strings.Cut(text, "\n")
-			text = after
+			// As in PostgreSQL, the comment ends at a carriage return as well.
+			end := strings.IndexAny(text, "\r\n")
+			if end < 0 {
+				return ""
+			}
+			text = text[end:]
 		case strings.HasPrefix(text, "/*"):
 			_, after, found := strings.Cut(text, "*/")
 			if !found {
--- a/coord/statement/statement_test.go
+++ b/coord/statement/statement_test.go
@@ -37,6 +37,10 @@
 		"":                                               statement.Empty,
 		"/* nothing":                                     statement.Empty,
 		"vacuum":                                         statement.Write,
+		"-- why\rdelete from t":                          statement.Write,
+		"-- why\rdelete from t where a in (\nselect 1)":  statement.Write,
+		"select 1 -- \r; delete from t":                  statement.Write,
+		"-- why\r\nselect 1":                             statement.Read,
 	}
 	for text, want := range cases {
 		t.Run(text, func(t *testing.T) {
