--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -9,12 +9,13 @@
 	"trefoilcourse/wire"
 )
 
-// TestStatementsCarryAnyBytes guards against a field of a statement or of its answer that holds what callers and servers
+// TestStatementsCarryAnyBytes guards against a field of a statement, of its answer or of a unit of work that holds what callers and servers
 // send, and cannot be encoded because that is not UTF-8.
 func TestStatementsCarryAnyBytes(t *testing.T) {
 	is := is.New(t)
 	const data = "\xff\x00\r\n\x80"
 	for _, m := range []proto.Message{
+		&wire.Open{User: data, RequestKey: data},
 		&wire.StatementRequest{Id: data, Text: data, Definition: data, Settings: []*wire.Setting{{Name: data, Value: data}}},
 		&wire.StatementAnswer{Rows: []string{data, ""}, Signature: data, Code: data, Message: data, Reason: data},
 	} {
