--- a/coord/correlate/doc.go
+++ b/coord/correlate/doc.go
@@ -1,10 +1,29 @@
-// Package correlate tells whether an answer on a connection can be the one to the question sent last.
+// Package correlate finds the answer to a question on a connection whose protocol carries no ids.
 //
-// Where a protocol carries no ids, answers are matched to questions by their order alone. A server that sends
-// an answer twice breaks the order: the copy arrives in place of a later answer. History remembers what a
-// connection has answered:
+// Such answers are matched to questions by their order alone. A server that sends an answer twice breaks the
+// order: the copy arrives in place of a later answer. History remembers what a connection has answered, and
+// Exchange decides for each answer that arrives after a question whether it is the one:
 //
-//	doubt := history.Observe(correlate.Question{Signed: true}, answer)
+//	e := history.Ask(correlate.Question{Signed: true})
+//	for {
+//		a := read()
+//		switch e.Receive(a) {
+//		case correlate.Accept:
+//			return a
+//		case correlate.AcceptKept:
+//			return kept
+//		case correlate.Fence:
+//			kept = a
+//			sendFence()
+//		case correlate.Keep:
+//			kept = a
+//		case correlate.Ambiguous:
+//			return errAmbiguous
+//		}
+//	}
 //
-// An answer that equals none of the earlier ones is no copy.
+// An answer that equals none of the earlier ones is no copy. A signature stands for one execution, so one that was seen
+// before is a copy. Other answers that equal an earlier one may still be genuine: a server that is busy twice says
+// so twice. The fence settles it: questions without an effect, sent once the doubtful answer has arrived, whose answers
+// come after every genuine one. If nothing else arrives before them, the doubtful answer was genuine.
 package correlate
--- a/coord/correlate/history.go
+++ b/coord/correlate/history.go
@@ -13,6 +13,8 @@
 	rememberedSignatures = 256
 	// rememberedAnswers bounds the unsigned answers that a connection remembers.
 	rememberedAnswers = 64
+	// rememberedCodes bounds the codes of errors that a connection remembers.
+	rememberedCodes = 16
 )
 
 // hashSeed is the same for all connections, since hashes do not leave the process.
@@ -53,6 +55,11 @@
 	Signed bool
 	// State is the transaction state after a success; 0 means any.
 	State byte
+	// HasRows says that each success has rows.
+	HasRows bool
+	// Followed says that another question was sent with this one. A copy without a signature is not told
+	// from its answer; the genuine answer then arrives in place of the next one, which shows it.
+	Followed bool
 }
 
 // Doubt is why an answer may be the copy of an earlier one.
@@ -67,43 +74,43 @@
 	OlderPosition     Doubt = "older-position"
 	NoResult          Doubt = "no-result"
 	NoSignature       Doubt = "no-signature"
+	NoRows            Doubt = "no-rows"
 	UnexpectedState   Doubt = "unexpected-state"
 )
 
+// excludes reports whether an answer with this doubt cannot be the one to the question.
+func (d Doubt) excludes() bool {
+	return d == RepeatedSignature || d == NoResult || d == NoSignature || d == NoRows || d == UnexpectedState
+}
+
 // History remembers the answers of one connection; the zero value is ready to use.
 type History struct {
-	signatures recent
-	answers    recent
-	codes      []string
-	highest    session.Position
+	// FenceRefusals are the codes with which questions of a fence are refused, as in a failed transaction.
+	FenceRefusals []string
+
+	signatures, answers, codes recent
+	highest                    session.Position
+	// stutters is set once a copy has arrived. Then copies of a fence's answers may come as well, and a fence proves
+	// nothing.
+	stutters bool
 }
 
-// recent remembers the hashes that were added last.
-type recent struct {
-	hashes []uint64
-	next   int
-}
+// recent remembers the hashes that were added last, the oldest first.
+type recent []uint64
 
-func (r *recent) has(hash uint64) bool { return slices.Contains(r.hashes, hash) }
+func (r recent) has(hash uint64) bool { return slices.Contains(r, hash) }
 
-// add remembers a hash, in place of the oldest one if there are limit.
+// add remembers a hash as the latest, in place of the oldest one if there are limit.
 func (r *recent) add(hash uint64, limit int) {
-	if len(r.hashes) < limit {
-		r.hashes = append(r.hashes, hash)
-		return
+	if i := slices.Index(*r, hash); i >= 0 {
+		*r = slices.Delete(*r, i, i+1)
+	} else if len(*r) >= limit {
+		*r = slices.Delete(*r, 0, 1)
 	}
-	r.hashes[r.next] = hash
-	r.next = (r.next + 1) % limit
+	*r = append(*r, hash)
 }
 
-func signatureHash(signature string) uint64 { return maphash.String(hashSeed, signature) }
-
-// Observe remembers an answer and returns why it may not be the one to a question.
-func (h *History) Observe(q Question, a Answer) Doubt {
-	doubt := h.examine(q, a)
-	h.record(a)
-	return doubt
-}
+func hashOf(text string) uint64 { return maphash.String(hashSeed, text) }
 
 // examine returns why an answer may not be the one to a question.
 func (h *History) examine(q Question, a Answer) Doubt {
@@ -111,13 +118,15 @@
 	case !a.Complete:
 		return NoResult
 	case a.Code != "":
-		if slices.Contains(h.codes, a.Code) {
+		if h.codes.has(hashOf(a.Code)) {
 			return RepeatedError
 		}
-	case a.Signature != "" && h.signatures.has(signatureHash(a.Signature)):
+	case a.Signature != "" && h.signatures.has(hashOf(a.Signature)):
 		return RepeatedSignature
 	case q.Signed && a.Signature == "":
 		return NoSignature
+	case q.HasRows && len(a.Rows) == 0:
+		return NoRows
 	case q.State != 0 && a.State != q.State:
 		return UnexpectedState
 	case !q.Signed && h.answers.has(a.hash()):
@@ -129,13 +138,21 @@
 	return NoDoubt
 }
 
+// answersFence reports whether a question of a fence may be answered like this.
+func (h *History) answersFence(a Answer) bool {
+	if a.Code != "" {
+		return slices.Contains(h.FenceRefusals, a.Code)
+	}
+	return a.Complete && a.Signature == "" && len(a.Rows) == 0
+}
+
 // record remembers an answer.
 func (h *History) record(a Answer) {
-	if a.Code != "" && !slices.Contains(h.codes, a.Code) {
-		h.codes = append(h.codes, a.Code)
+	if a.Code != "" {
+		h.codes.add(hashOf(a.Code), rememberedCodes)
 	}
 	if a.Signature != "" {
-		h.signatures.add(signatureHash(a.Signature), rememberedSignatures)
+		h.signatures.add(hashOf(a.Signature), rememberedSignatures)
 	} else {
 		h.answers.add(a.hash(), rememberedAnswers)
 	}
--- a/coord/correlate/history_test.go
+++ b/coord/correlate/history_test.go
@@ -14,6 +14,13 @@
 
 func TestMain(m *testing.M) { fixedseed.Main(m, 2000) }
 
+// observe returns the doubt about an answer that arrives for a question.
+func observe(h *correlate.History, q correlate.Question, a correlate.Answer) correlate.Doubt {
+	e := h.Ask(q)
+	e.Receive(a)
+	return e.Doubt()
+}
+
 func at(offset uint64) session.Position { return session.Position{Term: 1, Offset: offset} }
 
 // TestCopiesAreDoubted guards against the copy of an earlier answer that raises no doubt.
@@ -24,16 +31,16 @@
 	first := correlate.Answer{Complete: true, State: 'I', Signature: "1", Position: at(5)}
 	busy := correlate.Answer{Complete: true, State: 'I', Code: "BUSY", Position: at(5)}
 	begun := correlate.Answer{Complete: true, State: 'T', Position: at(5)}
-	is.Equal(h.Observe(statement, first), correlate.NoDoubt)
-	is.Equal(h.Observe(statement, busy), correlate.NoDoubt)
-	is.Equal(h.Observe(begin, begun), correlate.NoDoubt)
-	is.Equal(h.Observe(statement, first), correlate.RepeatedSignature)
-	is.Equal(h.Observe(statement, busy), correlate.RepeatedError)
-	is.Equal(h.Observe(begin, begun), correlate.RepeatedAnswer)
-	is.Equal(h.Observe(statement, begun), correlate.NoSignature)
-	is.Equal(h.Observe(begin, correlate.Answer{Complete: true, State: 'I', Position: at(6)}), correlate.UnexpectedState)
-	is.Equal(h.Observe(statement, correlate.Answer{State: 'I', Position: at(6)}), correlate.NoResult)
-	is.Equal(h.Observe(statement, correlate.Answer{Complete: true, State: 'I', Signature: "2", Position: at(5)}), correlate.OlderPosition)
+	is.Equal(observe(&h, statement, first), correlate.NoDoubt)
+	is.Equal(observe(&h, statement, busy), correlate.NoDoubt)
+	is.Equal(observe(&h, begin, begun), correlate.NoDoubt)
+	is.Equal(observe(&h, statement, first), correlate.RepeatedSignature)
+	is.Equal(observe(&h, statement, busy), correlate.RepeatedError)
+	is.Equal(observe(&h, begin, begun), correlate.RepeatedAnswer)
+	is.Equal(observe(&h, statement, begun), correlate.NoSignature)
+	is.Equal(observe(&h, begin, correlate.Answer{Complete: true, State: 'I', Position: at(6)}), correlate.UnexpectedState)
+	is.Equal(observe(&h, statement, correlate.Answer{State: 'I', Position: at(6)}), correlate.NoResult)
+	is.Equal(observe(&h, statement, correlate.Answer{Complete: true, State: 'I', Signature: "2", Position: at(5)}), correlate.OlderPosition)
 }
 
 // TestGenuineAnswersAreNotDoubted guards against doubts about a server that answers once.
@@ -42,7 +49,7 @@
 	var h correlate.History
 	for n := range uint64(1000) {
 		a := correlate.Answer{Complete: true, State: 'I', Signature: fmt.Sprint(n), Position: at(n / 7)}
-		is.Equal(h.Observe(correlate.Question{Signed: true}, a), correlate.NoDoubt)
+		is.Equal(observe(&h, correlate.Question{Signed: true}, a), correlate.NoDoubt)
 	}
 }
 
@@ -61,11 +68,11 @@
 			case 1:
 				offset++
 			}
-			h.Observe(statement, a)
+			observe(&h, statement, a)
 			sent = append(sent, a)
 		}
 		copied := rapid.SampledFrom(sent).Draw(t, "copied")
-		if h.Observe(statement, copied) == correlate.NoDoubt {
+		if observe(&h, statement, copied) == correlate.NoDoubt {
 			t.Fatalf("the copy of %+v raises no doubt", copied)
 		}
 	})
--- a/entry/internal/metrics/metrics.go
+++ b/entry/internal/metrics/metrics.go
@@ -41,6 +41,8 @@
 	UnreadableMessages expvar.Int
 	// DoubtfulAnswers counts servers' answers that may belong to an earlier statement, by reason.
 	DoubtfulAnswers expvar.Map
+	// SkippedAnswers counts servers' answers that were dropped because they belong to earlier statements.
+	SkippedAnswers expvar.Int
 
 	// KeyRefusals counts sessions and statements refused because of a caller's key, by reason.
 	KeyRefusals expvar.Map
@@ -84,7 +86,7 @@
 		"floors-known": &m.FloorsKnown, "floors-by-token": &m.FloorsByToken,
 		"floors-conservative": &m.FloorsConservative, "link-streams": &m.LinkStreams,
 		"announcements-accepted": &m.AnnounceAccepted, "announcements-refused": &m.AnnounceRefused,
-		"unreadable-messages": &m.UnreadableMessages, "doubtful-answers": &m.DoubtfulAnswers,
+		"unreadable-messages": &m.UnreadableMessages, "doubtful-answers": &m.DoubtfulAnswers, "skipped-answers": &m.SkippedAnswers,
 		"key-refusals": &m.KeyRefusals, "pool-evictions": &m.PoolEvictions,
 		"usage-waits": &m.UsageWaits, "usage-renewals": &m.UsageRenewals, "usage-refused": &m.usageRefused,
 		"queue-refusals": &m.QueueRefusals, "learned-limit-changes": &m.LimitChanges, "learned-limited-servers": &m.LimitedServers,
--- a/entry/runner/placement.go
+++ b/entry/runner/placement.go
@@ -149,7 +149,7 @@
 		ID: q.GetId(), Text: q.GetText(), Definition: q.GetDefinition(), Floor: floor, Holding: w.holding,
 	})
 	p.recordReply(reply, err)
-	p.logDoubt(q.GetId(), reply)
+	p.logDoubt(q.GetId(), reply, err)
 	w.runMicros.Add(clock.Now().Sub(p.sentAt).Microseconds())
 	if err != nil {
 		return reply, err
@@ -178,16 +178,17 @@
 	p.group.recordReplicaPosition(p.slot, p.sentAt, reply, p.onPrimary)
 }
 
-// logDoubt counts and logs an answer that may belong to an earlier statement.
-func (p *placement) logDoubt(request string, reply Reply) {
+// logDoubt counts and logs answers that may belong to an earlier statement.
+func (p *placement) logDoubt(request string, reply Reply, err error) {
 	if reply.Doubt == correlate.NoDoubt {
 		return
 	}
 	r := p.group.runner
 	r.Metrics.DoubtfulAnswers.Add(string(reply.Doubt), 1)
+	r.Metrics.SkippedAnswers.Add(int64(reply.Skipped))
 	if suppressed, ok := r.doubtLogs.Allow(clock.Now()); ok {
 		r.Log.WithFields(map[string]any{
-			"request": request, "group": p.group.name, "server": p.slot, "doubt": reply.Doubt,
+			"request": request, "group": p.group.name, "server": p.slot, "doubt": reply.Doubt, "skipped": reply.Skipped, "lost": err != nil,
 			"connection-age-ms": clock.Now().Sub(p.conn.openedAt).Milliseconds(), "not-logged-before": suppressed,
 		}).Info("answer of a server may belong to an earlier statement")
 	}
--- a/entry/runner/read.go
+++ b/entry/runner/read.go
@@ -144,6 +144,7 @@
 	}
 	reply, err := p.conn.Begin(w.ioDeadline(), true, floor)
 	p.recordReply(reply, err)
+	p.logDoubt(w.request.GetId(), reply, err)
 	if err != nil || reply.Result != Succeeded {
 		return reply, err
 	}
--- a/entry/runner/server.go
+++ b/entry/runner/server.go
@@ -42,8 +42,10 @@
 	State byte
 	// Position is the position of the server's log.
 	Position session.Position
-	// Doubt is why the answer may belong to an earlier statement on the connection; empty if it cannot.
+	// Doubt is why an answer that arrived for the statement could belong to an earlier one; empty if none could.
 	Doubt correlate.Doubt
+	// Skipped is how many answers were dropped because they belong to earlier statements.
+	Skipped int
 }
 
 // Target identifies the server to connect to.
--- a/entry/runner/transaction.go
+++ b/entry/runner/transaction.go
@@ -39,6 +39,7 @@
 	p.group.recordRequest(p.sentAt)
 	reply, err := p.conn.Begin(w.ioDeadline(), false, session.Position{})
 	p.recordReply(reply, err)
+	p.logDoubt(w.request.GetId(), reply, err)
 	if err != nil || reply.Result != Succeeded {
 		if err == nil && reply.Result == ReadOnly {
 			p.recordNotPrimary()
