--- a/entry/runner/export_test.go
+++ b/entry/runner/export_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"trefoilcourse/coord/clock"
 	"trefoilcourse/coord/session"
 	"trefoilcourse/coord/setup"
 )
@@ -127,3 +128,12 @@
 	defer g.mu.Unlock()
 	return g.lastAllLagging
 }
+
+// PrimarySilent reports whether a request to a group's primary is unanswered, and would be taken for a sign of a lost
+// server in time.
+func (r *Runner) PrimarySilent(name string) bool {
+	g := r.group(name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.health.Unresponsive(clock.Now().Add(time.Hour))
+}
--- a/entry/runner/placement.go
+++ b/entry/runner/placement.go
@@ -15,6 +15,9 @@
 	"trefoilcourse/wire"
 )
 
+// unreadable is why an answer that cannot be read is counted.
+const unreadable correlate.Doubt = "unreadable"
+
 // placement is a statement's assignment to a server, with a connection to it.
 type placement struct {
 	group     *group
@@ -24,7 +27,8 @@
 	conn      *serverConn
 	pool      *pool
 	sentAt    time.Time
-	answered  bool
+	// answered says that the server has answered, and failed that the connection can no longer be used.
+	answered, failed bool
 	// serviceTime is how long the server took for the last statement; 0 if it did not run it.
 	serviceTime time.Duration
 	// kind is the kind of the last statement.
@@ -136,7 +140,7 @@
 	q := w.request
 	steps := setup.Plan(p.conn.state, w.values, q.GetDefinition())
 	p.sentAt = clock.Now()
-	p.answered = false
+	p.answered, p.failed = false, false
 	p.kind = w.kind()
 	if p.onPrimary {
 		p.group.recordRequest(p.sentAt)
@@ -162,11 +166,15 @@
 }
 
 // recordReply records whether the server answered. A ReadOnly reply does not count as an answer
-// of the primary, because the server does not lead.
+// of the primary, because the server does not lead. An answer that cannot be read does: what is wrong with it is
+// no reason to replace the server.
 func (p *placement) recordReply(reply Reply, err error) {
-	p.answered = err == nil
+	p.answered, p.failed = hasAnswered(err), err != nil
 	p.serviceTime = 0
 	if err != nil {
+		if p.onPrimary && p.answered {
+			p.group.recordResponse(p.sentAt)
+		}
 		return
 	}
 	if reply.Result == Succeeded || reply.Result == ExecutionFailed {
@@ -178,8 +186,11 @@
 	p.group.recordReplicaPosition(p.slot, p.sentAt, reply, p.onPrimary)
 }
 
-// logDoubt counts and logs answers that may belong to an earlier statement.
+// logDoubt counts and logs answers that cannot be read or may belong to an earlier statement.
 func (p *placement) logDoubt(request string, reply Reply, err error) {
+	if errors.Is(err, ErrUnreadable) {
+		reply.Doubt = unreadable
+	}
 	if reply.Doubt == correlate.NoDoubt {
 		return
 	}
@@ -190,7 +201,7 @@
 		r.Log.WithFields(map[string]any{
 			"request": request, "group": p.group.name, "server": p.slot, "doubt": reply.Doubt, "skipped": reply.Skipped, "lost": err != nil,
 			"connection-age-ms": clock.Now().Sub(p.conn.openedAt).Milliseconds(), "not-logged-before": suppressed,
-		}).Info("answer of a server may belong to an earlier statement")
+		}).Info("answer of a server cannot be read or may belong to an earlier statement")
 	}
 }
 
--- a/entry/runner/probe.go
+++ b/entry/runner/probe.go
@@ -83,6 +83,9 @@
 	p.put(c, err == nil)
 	g.runner.Metrics.Polls.Add(1)
 	if err != nil {
+		if hasAnswered(err) {
+			g.recordResponse(sentAt)
+		}
 		return
 	}
 	if reply.Result == ReadOnly {
--- a/entry/runner/read.go
+++ b/entry/runner/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"trefoilcourse/coord/clock"
@@ -65,6 +66,7 @@
 
 func (r *Runner) readWithRetries(ctx context.Context, w *workItem, avoid []string) *wire.StatementAnswer {
 	failure := retryElsewhere("no server may run the read")
+	couldNotRead := false
 	for attempt := range maxAttempts {
 		job, floor := w.readJob(avoid)
 		p, refused := w.place(ctx, job)
@@ -91,7 +93,13 @@
 			return answered(reply)
 		}
 		p.release(err == nil && reply.State == 'I' && reply.Result != NotPrepared)
-		failure = retryElsewhere("no server that was tried could run the read")
+		if errors.Is(err, ErrUnreadable) {
+			// Another owner would run the read on the same servers, again and again until its time has passed.
+			couldNotRead, failure = true, answered(reply)
+		}
+		if !couldNotRead {
+			failure = retryElsewhere("no server that was tried could run the read")
+		}
 		r.Metrics.Retries.Add(1)
 		avoid = append(avoid, p.slot)
 	}
@@ -171,6 +179,12 @@
 	}
 }
 
+// canBeginElsewhere reports whether the statement is the first of a transaction and a read, which another owner may run
+// if this one could not.
+func (w *workItem) canBeginElsewhere() bool {
+	return w.request.GetBegins() && w.request.GetKind() == wire.StatementKind_STATEMENT_KIND_READ
+}
+
 // canRetry reports whether the statement may be retried on another server when one stops
 // answering.
 func (w *workItem) canRetry() bool {
--- a/entry/runner/server.go
+++ b/entry/runner/server.go
@@ -15,6 +15,19 @@
 // request.
 var ErrNotSent = errors.New("nothing was sent")
 
+// ErrUnreadable means that the server has answered and that its answer cannot be read, as may be that of any server
+// to the same statement. The reply holds the error that a caller is given for it.
+var ErrUnreadable = errors.New("the server's answer cannot be read")
+
+// ErrAmbiguous means that the server has answered and that it cannot be told which of its answers is the one. On another
+// connection it can.
+var ErrAmbiguous = errors.New("the server's answers cannot be told apart")
+
+// hasAnswered reports whether a server has answered, so that the error is none of the server or of the way to it.
+func hasAnswered(err error) bool {
+	return err == nil || errors.Is(err, ErrUnreadable) || errors.Is(err, ErrAmbiguous)
+}
+
 // Result classifies a server's reply by what happened to the statement.
 type Result int
 
--- a/entry/runner/transaction.go
+++ b/entry/runner/transaction.go
@@ -120,6 +120,9 @@
 	case err != nil && commits && tx.wrote && !errors.Is(err, ErrNotSent):
 		r.endTransaction(tx, false)
 		return unknown("the server was lost while it committed")
+	case errors.Is(err, ErrUnreadable) && w.canBeginElsewhere():
+		r.endTransaction(tx, false)
+		return answered(reply)
 	case err != nil:
 		r.endTransaction(tx, false)
 		return rolledBack("the server was lost during the transaction")
@@ -172,7 +175,7 @@
 	delete(r.transactions, tx.id)
 	r.mu.Unlock()
 	p := tx.placement
-	if !clean && p.answered {
+	if !clean && p.answered && !p.failed {
 		clean = p.conn.Rollback(time.Now().Add(rollbackTimeout)) == nil
 	}
 	p.release(clean)
