--- a/entry/backend/conn.go
+++ b/entry/backend/conn.go
@@ -12,6 +12,7 @@
 
 	"trefoilcourse/coord/session"
 	"trefoilcourse/entry/internal/frame"
+	"trefoilcourse/wire/conns"
 	"trefoilcourse/wire/lsn"
 	"trefoilcourse/wire/protorpc"
 )
@@ -281,6 +282,10 @@
 	return err
 }
 
+// Quiet reports, without blocking, whether the connection is open and the server has sent nothing that is unread. Its frames
+// have no ids: what is unread would be taken for a part of the next answer.
+func (c *Conn) Quiet() bool { return !c.reader.Buffered() && conns.Quiet(c.conn) }
+
 // Buffered reports whether more of the server's answer is already in the read buffer.
 func (c *Conn) Buffered() bool { return c.reader.Buffered() }
 
--- a/entry/owner/pool.go
+++ b/entry/owner/pool.go
@@ -152,9 +152,13 @@
 	return nil, false, p.changed, nil
 }
 
-// alive probes a connection that has been idle for longer than probeAfter, since the network may
-// have dropped it.
+// alive reports whether an idle connection may be used. One with unread input may not, be it an answer that is too many,
+// the server's reason for a close, or a notice, for which the server is not to blame. One that has been idle for longer than
+// probeAfter is probed, since the network may have dropped it.
 func (p *pool) alive(conn *backend.Conn) bool {
+	if !conn.Quiet() {
+		return false
+	}
 	if time.Since(conn.LastContact()) < probeAfter {
 		return true
 	}
