--- a/coord/correlate/doc.go
+++ b/coord/correlate/doc.go
@@ -17,11 +17,14 @@
 //			sendFence()
 //		case correlate.Keep:
 //			kept = a
+//		case correlate.Skip:
 //		case correlate.Ambiguous:
 //			return errAmbiguous
 //		}
 //	}
 //
+// The caller keeps one answer aside, kept, until the exchange ends; skipped ones are dropped.
+//
 // An answer that equals none of the earlier ones is no copy. A signature stands for one execution, so one that was seen
 // before is a copy. Other answers that equal an earlier one may still be genuine: a server that is busy twice says
 // so twice. The fence settles it: questions without an effect, sent once the doubtful answer has arrived, whose answers
