--- a/review/standins-2/stopped.go
+++ b/review/standins-2/stopped.go
@@ -21,7 +21,7 @@
 	const (
 		grace     = 6 * time.Second
 		excused   = 3 * time.Second
-		consumers = 6
+		consumers = 24
 	)
 	i, err := install(r, 4, 3, nil)
 	if i != nil {
