--- a/review/standins-2/database.go
+++ b/review/standins-2/database.go
@@ -40,8 +40,21 @@
 	macs      uint64
 	// quiet leaves the single statements out of the record.
 	quiet bool
-	// commits are all writes that were committed, by their data.
-	commits map[string][]position
+	// commits are all writes that were committed, by their data, and promotions are those that have taken effect.
+	commits    map[string][]commit
+	promotions []commit
+	// promoteDelay is how long the platform takes for a call that arrives now; nil means promoteTime.
+	promoteDelay func(id string) time.Duration
+}
+
+// promoteTime is how long a promote takes.
+const promoteTime = 300 * time.Millisecond
+
+// commit is a commit of a database, or a promotion, and when it took effect.
+type commit struct {
+	database string
+	position position
+	at       time.Duration
 }
 
 // run is one statement that a database has run.
@@ -79,7 +92,7 @@
 }
 
 func newService(name string, number, count, hosts int, r *record) (*service, error) {
-	s := &service{name: name, record: r, maxConns: 44, work: 8 * time.Millisecond, commits: map[string][]position{}}
+	s := &service{name: name, record: r, maxConns: 44, work: 8 * time.Millisecond, commits: map[string][]commit{}}
 	for i := range count {
 		l, err := net.Listen("tcp", net.JoinHostPort(hostOf(hosts+i), "0"))
 		if err != nil {
@@ -199,10 +212,19 @@
 				continue
 			}
 		}
-		time.Sleep(every)
+		for end := time.Now().Add(every); time.Now().Before(end) && !d.changedRole(role); {
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 }
 
+// changedRole reports whether the database has another role than the one that it reported.
+func (d *database) changedRole(reported string) bool {
+	d.service.mu.Lock()
+	defer d.service.mu.Unlock()
+	return d.primary != (reported == "primary")
+}
+
 func (d *database) accept(l net.Listener) {
 	for {
 		conn, err := l.Accept()
@@ -434,7 +456,7 @@
 func (d *database) commit(e entry) {
 	e.at, e.committed = position{d.term, uint64(len(d.log)) + 1}, time.Now()
 	d.log = append(slices.Clip(d.log), e)
-	d.service.commits[e.data] = append(d.service.commits[e.data], e.at)
+	d.service.commits[e.data] = append(d.service.commits[e.data], commit{d.id, e.at, d.service.record.now()})
 }
 
 func (d *database) mac() string {
@@ -455,7 +477,27 @@
 	return "ERROR " + code + " " + c.database.id + "\r\nREADY " + c.state + " " + c.database.position().String() + "\r\n"
 }
 
-// platform answers promotion requests.
+// promote has a database lead the next term, unless it leads already, and returns the status of the answer.
+func (s *service) promote(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.leader()
+	for _, d := range s.databases {
+		if d.id != id || d == old {
+			continue
+		}
+		if d.down || d.dark {
+			s.record.say("platform: %s is not running", id)
+			return http.StatusConflict
+		}
+		d.primary, d.term, d.applied, d.promotedAt = true, old.term+1, len(d.log), time.Now()
+		s.promotions = append(s.promotions, commit{d.id, position{term: d.term}, s.record.now()})
+		s.record.say("platform: %s leads term %d, with %d commits", id, d.term, len(d.log))
+	}
+	return http.StatusOK
+}
+
+// servePlatform answers promotion requests.
 func servePlatform(services []*service, hosts int) (address string, stop func(), err error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(hostOf(hosts), "0"))
 	if err != nil {
@@ -471,21 +513,16 @@
 			return
 		}
 		s := services[k]
-		s.record.say("platform: %s promotes %s with token %s", r.Header.Get("Trefoilcourse-Lease-Holder"), body.ID, r.Header.Get("Trefoilcourse-Fence-Token"))
-		time.Sleep(300 * time.Millisecond)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		old := s.leader()
-		for _, d := range s.databases {
-			if d.id != body.ID || d == old {
-				continue
-			}
-			if d.down {
-				w.WriteHeader(http.StatusConflict)
-				return
-			}
-			d.primary, d.term, d.applied, d.promotedAt = true, old.term+1, len(d.log), time.Now()
+		delay := promoteTime
+		if s.promoteDelay != nil {
+			delay = s.promoteDelay(body.ID)
 		}
+		s.record.say("platform: %s asks to promote %s with token %s, which takes %v", r.Header.Get("Trefoilcourse-Lease-Holder"), body.ID,
+			r.Header.Get("Trefoilcourse-Fence-Token"), delay)
+		// The call has been read, and is carried out also if its sender leaves.
+		status := make(chan int, 1)
+		time.AfterFunc(delay, func() { status <- s.promote(body.ID) })
+		w.WriteHeader(<-status)
 	})
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(l) }()
