--- a/review/standins-2/late.go
+++ b/review/standins-2/late.go
@@ -18,6 +18,8 @@
 		slowCall = 8 * time.Second         // how long such a call takes
 		dark     = 5400 * time.Millisecond
 	)
+	// The new database, the fourth, starts before the one that it replaces drains.
+	databases = 4
 	i, err := install(r, 3, 3, nil)
 	if i != nil {
 		defer i.stop()
